--- a/cmake/endivelatch.cmake
+++ b/cmake/endivelatch.cmake
@@ -14,7 +14,7 @@
   target_link_libraries(${library} PUBLIC endivelatch_options ${arg_DEPENDS}
                                    PRIVATE ${arg_PRIVATE_DEPENDS})
   file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/tests/${name}/*.cpp)
-  if(tests)
+  if(tests AND ENDIVELATCH_TESTS)
     add_executable(test_${name} ${tests})
     target_include_directories(test_${name} PRIVATE ${CMAKE_SOURCE_DIR}/src ${CMAKE_SOURCE_DIR}/tests)
     target_link_libraries(test_${name} PRIVATE ${library} rapidcheck GTest::gmock GTest::gtest_main)
--- a/include/endivelatch/admission/retry_budget.hpp
+++ b/include/endivelatch/admission/retry_budget.hpp
@@ -24,6 +24,9 @@
     /// Changes the share.
     void set_share(double share) { share_ = share; }
 
+    /// Changes the retries allowed without any recent request.
+    void set_burst(std::uint32_t burst) { burst_ = burst; }
+
     static constexpr duration window{10'000'000};
 
 private:
--- a/include/endivelatch/base/log_event.hpp
+++ b/include/endivelatch/base/log_event.hpp
@@ -16,11 +16,19 @@
     explicit log_event(std::string name) : name_{std::move(name)} {}
 
     /// Adds a text field; returns this event.
-    log_event& add(std::string_view key, std::string_view value);
+    log_event& add(std::string_view key, std::string_view value) &;
+
+    /// Adds a field of any type to a temporary; returns the temporary.
+    template <class Value>
+    log_event&& add(std::string_view key, const Value& value) &&
+    {
+        add(key, value);
+        return std::move(*this);
+    }
 
     /// Adds a number field; returns this event.
     template <class Number>
-    requires std::is_arithmetic_v<Number> log_event& add(std::string_view key, Number value)
+    requires std::is_arithmetic_v<Number> log_event& add(std::string_view key, Number value) &
     {
         return add(key, std::string_view{std::to_string(value)});
     }
@@ -33,7 +41,7 @@
             id.str()
             } -> std::convertible_to<std::string_view>;
     }
-    log_event& add(std::string_view key, const Id& id)
+    log_event& add(std::string_view key, const Id& id) &
     {
         return add(key, std::string_view{id.str()});
     }
--- /dev/null
+++ b/include/endivelatch/entry/entry_process_life.ipp
@@ -0,0 +1,376 @@
+// Start, stop, other interfaces, copies and the view of the fleet of entry_process.
+
+namespace endivelatch {
+
+template <entry_protocol Protocol>
+entry_process<Protocol>::entry_process(event_loop& loop, const entry_settings& settings,
+                                       std::string settings_path,
+                                       std::shared_ptr<bounded_sink> sink,
+                                       std::shared_ptr<spdlog::logger> log)
+    : loop_{&loop}, settings_{settings}, file_{std::move(settings_path)}, sink_{std::move(sink)},
+      log_{std::move(log)}, router_{settings_for_traffic()},
+      requests_{loop,
+                {[this](exchange_number id, request_head&& head, std::string&& body) {
+                     on_request(id, std::move(head), std::move(body));
+                 },
+                 [this](exchange_number id) { deliver(caller_left{id}); },
+                 [this](exchange_number id) { on_drained(id); }}},
+      readiness_{loop, simple_callbacks([this](exchange_number id, const request_head& head) {
+                     on_readiness_request(id, head);
+                 })},
+      entries_{loop, simple_callbacks([this](exchange_number id, const request_head& head) {
+                   on_entry_request(id, head);
+               })},
+      peers_{loop, simple_callbacks([this](exchange_number id, const request_head& head) {
+                 on_peer_request(id, head);
+             })},
+      metrics_{loop, simple_callbacks([this](exchange_number id, const request_head& head) {
+                   on_metrics_request(id, head);
+               })},
+      targets_{loop,
+               {[this](outgoing_id id, answer_head&& head) {
+                    if (const auto key = key_of(id)) {
+                        deliver(answer_begun{*key, Protocol::read_answer(std::move(head))});
+                    }
+                },
+                [this](outgoing_id id, std::string_view bytes) {
+                    if (const auto key = key_of(id)) {
+                        deliver(answer_bytes{*key, std::string{bytes}});
+                    }
+                },
+                [this](outgoing_id id) {
+                    if (const auto key = forget(id)) {
+                        deliver(answer_finished{*key});
+                    }
+                },
+                [this](outgoing_id id, attempt_stage stage, const std::string& reason) {
+                    if (const auto key = forget(id)) {
+                        deliver(attempt_broken{*key, stage, reason});
+                    }
+                }}},
+      calls_{loop}, configuration_{loop,
+                                   calls_,
+                                   object_kind::configuration,
+                                   settings.store,
+                                   mirror_settings{},
+                                   stable_hash(settings.id.str()),
+                                   {[this] { configuration_updated(); },
+                                    [this](log_event&& e) { write(std::move(e)); }}},
+      registrations_{loop,
+                     calls_,
+                     object_kind::targets,
+                     settings.store,
+                     // Registrations that expired during an outage return within two seconds.
+                     mirror_settings{.absence_grace = std::chrono::milliseconds{1'800}},
+                     stable_hash(settings.id.str()) + 1,
+                     {[this] { targets_updated(); },
+                      [this](log_event&& e) { write(std::move(e)); }}},
+      fleet_{loop,
+             settings,
+             incarnation{static_cast<std::uint64_t>(
+                 std::chrono::system_clock::now().time_since_epoch() / duration{1'000})},
+             {[this] { deliver(fleet_changed{fleet_.live_count()}); },
+              [this](object_kind kind, const member& holder, store_revision revision) {
+                  auto& copy =
+                      kind == object_kind::configuration ? configuration_ : registrations_;
+                  copy.take_from(holder.link, revision);
+              },
+              [this](duration late) { on_pause(late); },
+              [this](log_event&& e) { write(std::move(e)); }}},
+      wake_{loop, [this] { deliver(timer_due{}); }},
+      housekeeping_{loop, [this] { housekeep(); }}, stop_timer_{loop, [this] { check_stop(); }},
+      lonely_timer_{loop, [this] { find_peers(); }}, flush_timer_{loop,
+                                                                  [this] {
+                                                                      sink_->write_buffered();
+                                                                  }},
+      on_terminate_{loop, SIGTERM, [this] { stop(); }}, on_interrupt_{loop, SIGINT,
+                                                                      [this] { stop(); }},
+      on_hang_up_{loop, SIGHUP, [this] { reload("signal"); }}
+{
+    file_.read();
+}
+
+template <entry_protocol Protocol>
+findings entry_process<Protocol>::start()
+{
+    findings faults;
+    const auto bind = [&](request_server& server, const std::optional<endpoint>& address) {
+        if (!address) {
+            return;
+        }
+        for (auto& it : server.start(*address)) {
+            faults.push_back(std::move(it));
+        }
+    };
+    bind(requests_, settings_.requests);
+    bind(readiness_, settings_.readiness);
+    bind(entries_, settings_.entries);
+    bind(peers_, settings_.peers);
+    bind(metrics_, settings_.metrics);
+    for (auto& it : fleet_.start()) {
+        faults.push_back(std::move(it));
+    }
+    configuration_.start();
+    registrations_.start();
+    announce();
+    housekeep();
+    lonely_timer_.start(lonely_delay);
+    write(log_event{"started"}
+              .add("router", settings_.id)
+              .add("domain", settings_.domain)
+              .add("requests", settings_.requests.address)
+              .add("port", settings_.requests.port)
+              .add("settings", file_.path()));
+    return faults;
+}
+
+template <entry_protocol Protocol>
+traffic_settings entry_process<Protocol>::settings_for_traffic() const
+{
+    const auto& bounds = settings_.bounds;
+    return {settings_.domain, bounds.retry_share, bounds.retry_burst, bounds.load_bound};
+}
+
+template <entry_protocol Protocol>
+void entry_process<Protocol>::write(log_event&& event)
+{
+    log_->info(event.to_line());
+    if (!std::exchange(is_flush_posted_, true)) {
+        loop_->post([this] {
+            is_flush_posted_ = false;
+            sink_->write_buffered();
+            if (sink_->has_buffered() && !flush_timer_.is_active()) {
+                flush_timer_.start(stop_interval);
+            }
+        });
+    }
+}
+
+template <entry_protocol Protocol>
+void entry_process<Protocol>::on_readiness_request(exchange_number id, const request_head& head)
+{
+    if (!Protocol::is_readiness_query(head.target)) {
+        readiness_.respond(id, 404, {}, {});
+        return;
+    }
+    readiness_.respond(id, is_ready() ? 200 : 503, {}, {});
+}
+
+template <entry_protocol Protocol>
+void entry_process<Protocol>::on_entry_request(exchange_number id, const request_head& head)
+{
+    const auto query = Protocol::read_entry_query(head.target);
+    if (!query) {
+        entries_.respond(id, 404, {}, {});
+        return;
+    }
+    auto addresses = fleet_.ready_peers();
+    if (is_ready()) {
+        addresses.push_back(settings_.requests);
+    }
+    router_.metrics().add("entry_queries");
+    if (addresses.empty()) {
+        entries_.respond(id, 503, {}, {});
+        return;
+    }
+    entries_.respond(id, 200, {{"Content-Type", "application/json"}},
+                     Protocol::write_entry_list(addresses, settings_.bounds.entry_lifetime));
+}
+
+template <entry_protocol Protocol>
+void entry_process<Protocol>::on_peer_request(exchange_number id, const request_head& head)
+{
+    for (const auto* it : {&configuration_, &registrations_}) {
+        const auto kind = it == &configuration_ ? object_kind::configuration : object_kind::targets;
+        if (head.target == mirror_client<Protocol>::copy_path(kind) && it->mirror().is_known()) {
+            peers_.respond(id, 200, {{"Content-Type", "application/json"}}, it->to_page());
+            return;
+        }
+    }
+    peers_.respond(id, 404, {}, {});
+}
+
+template <entry_protocol Protocol>
+void entry_process<Protocol>::on_metrics_request(exchange_number id, const request_head&)
+{
+    metrics_.respond(id, 200, {{"Content-Type", "text/plain; version=0.0.4"}},
+                     router_.metrics().to_text());
+}
+
+template <entry_protocol Protocol>
+void entry_process<Protocol>::configuration_updated()
+{
+    const auto& objects = configuration_.mirror().objects();
+    fleet_.publish_copy(object_kind::configuration, configuration_.mirror().revision());
+    if (objects.empty()) {
+        return;
+    }
+    auto read = Protocol::read_configuration(objects.begin()->second);
+    if (!has_value(read)) {
+        write(log_event{"configuration_unreadable"}.add("reason", to_string(findings_of(read))));
+        return;
+    }
+    auto version = std::make_shared<const traffic_configuration>(
+        std::get<traffic_configuration>(std::move(read)));
+    const auto* current = router_.configuration();
+    if (current != nullptr && version->version() <= current->version()) {
+        return; // Versions never go back.
+    }
+    const auto& limits = version->limits();
+    requests_.set_limits({limits.sizes, limits.head_timeout, limits.idle_timeout});
+    deliver(configuration_changed{std::move(version)});
+    publish_ready();
+}
+
+template <entry_protocol Protocol>
+void entry_process<Protocol>::targets_updated()
+{
+    const auto& mirror = registrations_.mirror();
+    fleet_.publish_copy(object_kind::targets, mirror.revision());
+    targets_changed changed;
+    changed.revision = mirror.revision().value();
+    std::set<endpoint> addresses;
+    for (const auto& [name, object] : mirror.objects()) {
+        auto target = Protocol::read_target(object);
+        if (has_value(target)) {
+            addresses.insert(value_of(target).address);
+            changed.targets.push_back(std::get<registered_target>(std::move(target)));
+            continue;
+        }
+        if (std::exchange(unreadable_[name], object.revision) != object.revision) {
+            write(log_event{"registration_unreadable"}
+                      .add("target", name)
+                      .add("reason", to_string(findings_of(target))));
+        }
+    }
+    targets_.keep_only(addresses);
+    deliver(std::move(changed));
+    publish_ready();
+}
+
+template <entry_protocol Protocol>
+void entry_process<Protocol>::announce()
+{
+    const auto call = Protocol::register_router_call(settings_);
+    calls_.call({settings_.store, call.method, call.target, call.body, call_timeout},
+                [this](call_outcome&& outcome) {
+                    const auto* reply = std::get_if<call_reply>(&outcome);
+                    write(log_event{"announced"}.add("status", reply ? reply->status : 0));
+                });
+}
+
+template <entry_protocol Protocol>
+void entry_process<Protocol>::find_peers()
+{
+    if (fleet_.has_peers()) {
+        return;
+    }
+    lonely_timer_.start(lonely_delay * 5);
+    const auto call = Protocol::list_call(object_kind::routers, {});
+    calls_.call({settings_.store, call.method, call.target, call.body, call_timeout},
+                [this](call_outcome&& outcome) {
+                    const auto* reply = std::get_if<call_reply>(&outcome);
+                    const auto page = reply == nullptr
+                                          ? result<object_page>{one_finding("store", "no answer")}
+                                          : Protocol::read_page(reply->body);
+                    if (!has_value(page)) {
+                        write(log_event{"no_peers_found"}.add("reason",
+                                                              to_string(findings_of(page))));
+                        return;
+                    }
+                    std::vector<endpoint> found;
+                    for (const auto& it : value_of(page).objects) {
+                        const auto address = Protocol::read_router(it);
+                        if (has_value(address)) {
+                            found.push_back(value_of(address));
+                        }
+                    }
+                    fleet_.add_seeds(found);
+                });
+}
+
+template <entry_protocol Protocol>
+void entry_process<Protocol>::on_pause(duration late)
+{
+    write(log_event{"paused"}.add("ms", late.count() / 1'000));
+    configuration_.refresh();
+    registrations_.refresh();
+}
+
+template <entry_protocol Protocol>
+void entry_process<Protocol>::publish_ready()
+{
+    if (std::exchange(was_ready_, is_ready()) == is_ready()) {
+        return;
+    }
+    write(log_event{"readiness"}.add("ready", is_ready() ? 1 : 0));
+    fleet_.publish_ready(is_ready());
+}
+
+template <entry_protocol Protocol>
+void entry_process<Protocol>::housekeep()
+{
+    housekeeping_.start(housekeeping_interval);
+    if (file_.has_changed()) {
+        reload("file");
+    }
+    auto& metrics = router_.metrics();
+    metrics.set("requests_active", static_cast<std::int64_t>(router_.active()));
+    metrics.set("caller_connections", static_cast<std::int64_t>(requests_.connections()));
+    metrics.set("target_connections", static_cast<std::int64_t>(targets_.connections()));
+    metrics.set("target_connections_opened", static_cast<std::int64_t>(targets_.opened()));
+    metrics.set("calls_made", static_cast<std::int64_t>(calls_.made()));
+    metrics.set("gossip_bytes_sent", static_cast<std::int64_t>(fleet_.bytes_sent()));
+    metrics.set("log_lines_dropped", static_cast<std::int64_t>(sink_->dropped()));
+}
+
+template <entry_protocol Protocol>
+void entry_process<Protocol>::reload(std::string_view cause)
+{
+    const auto text = file_.read();
+    const auto read = text ? Protocol::read_settings(*text)
+                           : result<entry_settings>{one_finding(file_.path(), "cannot be read")};
+    if (!has_value(read)) {
+        write(log_event{"settings_kept"}.add("cause", cause).add(
+            "reason", to_string(findings_of(read))));
+        return;
+    }
+    const bool is_new = value_of(read).bounds != settings_.bounds;
+    settings_.bounds = value_of(read).bounds;
+    router_.set_settings(settings_for_traffic());
+    fleet_.add_seeds(value_of(read).seeds);
+    write(log_event{"settings_reloaded"}.add("cause", cause).add("changed", is_new ? 1 : 0));
+}
+
+template <entry_protocol Protocol>
+void entry_process<Protocol>::stop()
+{
+    if (std::exchange(is_stopping_, true)) {
+        return;
+    }
+    stop_began_ = loop_->now();
+    write(log_event{"stopping"}.add("active", router_.active()));
+    publish_ready();
+    fleet_.leave();
+    requests_.close_connections();
+    const auto call = Protocol::forget_router_call(settings_);
+    calls_.call({settings_.store, call.method, call.target, call.body, call_timeout},
+                [](call_outcome&&) {});
+    stop_timer_.start(stop_interval);
+}
+
+template <entry_protocol Protocol>
+void entry_process<Protocol>::check_stop()
+{
+    const auto passed = loop_->now() - stop_began_;
+    const bool is_done = router_.active() == 0 && passed >= shortest_stop;
+    if (is_done || passed >= settings_.bounds.stop_grace - stop_reserve) {
+        write(log_event{"stopped"}.add("active", router_.active()));
+        sink_->write_buffered();
+        loop_->stop();
+        return;
+    }
+    stop_timer_.start(stop_interval);
+}
+
+} // namespace endivelatch
--- /dev/null
+++ b/include/endivelatch/entry/fleet_view.hpp
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "endivelatch/entry/entry_settings.hpp"
+#include "endivelatch/entry/protocol.hpp"
+#include "endivelatch/membership/membership.hpp"
+#include "endivelatch/net/timer.hpp"
+#include "endivelatch/net/udp_socket.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace endivelatch {
+
+/// What a fleet view reports. All must be set.
+struct fleet_view_callbacks {
+    std::function<void()> on_members_changed;
+    /// A router holds a newer copy of the objects than this one has said to hold.
+    std::function<void(object_kind, const member&, store_revision)> on_newer_copy;
+    std::function<void(duration)> on_pause; ///< The process was not scheduled for this long.
+    std::function<void(log_event&&)> on_log;
+};
+
+/// The other entry routers: who is live and ready, and which copies they hold. Runs the
+/// membership protocol over UDP.
+class fleet_view {
+public:
+    fleet_view(event_loop& loop, const entry_settings& settings, incarnation run,
+               fleet_view_callbacks callbacks);
+
+    /// Binds the address and starts to look for other routers.
+    findings start();
+
+    /// Adds addresses where routers may be found.
+    void add_seeds(const std::vector<endpoint>& seeds);
+
+    /// Tells the others whether this router takes requests.
+    void publish_ready(bool is_ready);
+
+    /// Tells the others which copy this router holds.
+    void publish_copy(object_kind kind, store_revision revision);
+
+    /// Tells the others that this router stops.
+    void leave();
+
+    /// Returns the number of live routers, this one included.
+    std::uint32_t live_count() const;
+
+    /// Returns the addresses for callers of the other routers that are alive and ready.
+    std::vector<endpoint> ready_peers() const;
+
+    /// Returns the live member that holds the newest copy, if newer than the revision.
+    const member* newest_holder(object_kind kind, store_revision than) const;
+
+    /// Returns whether any other router is known.
+    bool has_peers() const { return membership_.has_peers(); }
+
+    /// Bytes sent so far.
+    std::uint64_t bytes_sent() const { return bytes_sent_; }
+
+private:
+    void receive(const endpoint& from, std::string_view bytes);
+    void tick();
+    void apply(membership_effects&& effects);
+    void act(send_packet& e);
+    void act(member_changed& e);
+    void act(summary_changed& e);
+    void act(config_seen& e);
+    void act(run_superseded& e);
+    void act(pause_noticed& e);
+    void schedule();
+
+    event_loop* loop_;
+    fleet_view_callbacks callbacks_;
+    router_id self_;
+    membership membership_;
+    udp_socket socket_;
+    endpoint address_;
+    std::vector<endpoint> seeds_;
+    timer timer_;
+    std::map<router_id, bool> ready_;
+    std::map<object_kind, std::map<router_id, store_revision>> copies_;
+    std::uint64_t bytes_sent_ = 0;
+};
+
+} // namespace endivelatch
--- /dev/null
+++ b/include/endivelatch/entry/mirror_client.hpp
@@ -0,0 +1,225 @@
+#pragma once
+
+#include "endivelatch/base/log_event.hpp"
+#include "endivelatch/base/overloaded.hpp"
+#include "endivelatch/entry/call_client.hpp"
+#include "endivelatch/entry/protocol.hpp"
+#include "endivelatch/mirror/object_mirror.hpp"
+#include "endivelatch/net/timer.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace endivelatch {
+
+/// What a mirror client reports. All must be set.
+struct mirror_client_callbacks {
+    std::function<void()> on_updated;
+    std::function<void(log_event&&)> on_log;
+};
+
+/// Keeps a copy of the platform's objects of one kind, from the store or from other routers.
+template <entry_protocol Protocol>
+class mirror_client {
+public:
+    mirror_client(event_loop& loop, call_client& calls, object_kind kind, const endpoint& store,
+                  const mirror_settings& settings, std::uint64_t seed,
+                  mirror_client_callbacks callbacks)
+        : loop_{&loop}, calls_{&calls}, kind_{kind}, store_{store}, mirror_{settings, seed},
+          callbacks_{std::move(callbacks)}, timer_{loop, [this] { apply(mirror_.tick(now())); }},
+          peer_timer_{loop, [this] { ask_peer(); }}
+    {
+    }
+
+    /// Starts to read.
+    void start() { apply(mirror_.start(now())); }
+
+    /// Returns the copy.
+    const object_mirror& mirror() const { return mirror_; }
+
+    /// Reads everything again, as after a pause of the process.
+    void refresh()
+    {
+        if (call_) {
+            calls_->cancel(*call_);
+            call_.reset();
+        }
+        apply(mirror_.start(now()));
+    }
+
+    /// Takes the copy of a router that holds a newer one, unless the store brings it soon.
+    void take_from(const endpoint& peer, store_revision revision)
+    {
+        if (revision <= mirror_.revision()) {
+            return;
+        }
+        peer_ = peer;
+        peer_revision_ = revision;
+        if (!peer_timer_.is_active()) {
+            peer_timer_.start(mirror_.is_known() ? peer_delay : duration{});
+        }
+    }
+
+    /// Returns the copy as it is passed to other routers.
+    std::string to_page() const
+    {
+        object_page page;
+        page.revision = mirror_.revision();
+        for (const auto& [name, object] : mirror_.objects()) {
+            page.objects.push_back(object);
+        }
+        return Protocol::write_page(page);
+    }
+
+    /// Path of a copy on a router's address for peers.
+    static std::string copy_path(object_kind kind) { return "/copy/" + std::string{to_string(kind)}; }
+
+    /// Longest wait for a list or a copy; the store answers in milliseconds when it is well.
+    static constexpr duration list_timeout{1'500'000};
+    /// Time beyond its wait after which a watch counts as lost.
+    static constexpr duration watch_slack{1'000'000};
+    /// Time that the store's watch has to bring a change that a peer already holds.
+    static constexpr duration peer_delay{400'000};
+
+private:
+    time_point now() const { return loop_->now(); }
+
+    void apply(mirror_effects&& effects)
+    {
+        for (auto& it : effects) {
+            std::visit(overloaded{[this](list_objects& e) { list(e); },
+                                  [this](watch_objects& e) { watch(e); },
+                                  [this](mirror_updated&) { callbacks_.on_updated(); }},
+                       it);
+        }
+        if (const auto next = mirror_.next_timer()) {
+            timer_.start(std::max(*next - now(), shortest_timer));
+        }
+    }
+
+    void list(const list_objects& e)
+    {
+        send(Protocol::list_call(kind_, e.after), list_timeout, [this](const std::string& body) {
+            return take(Protocol::read_page(body));
+        });
+    }
+
+    void watch(const watch_objects& e)
+    {
+        send(Protocol::watch_call(kind_, e.after, e.wait), e.wait + watch_slack,
+             [this](const std::string& body) { return take(Protocol::read_changes(body)); });
+    }
+
+    template <class Take>
+    void send(const store_call& call, duration timeout, Take take_body)
+    {
+        call_ = calls_->call(
+            {store_, call.method, call.target, call.body, timeout},
+            [this, take_body](call_outcome&& outcome) {
+                call_.reset();
+                if (const auto* failure = std::get_if<call_failed>(&outcome)) {
+                    note_failure(failure->reason);
+                    return;
+                }
+                const auto& reply = std::get<call_reply>(outcome);
+                if (reply.status == history_gone_status) {
+                    log("store_history_gone", "");
+                    apply(mirror_.history_gone(now()));
+                }
+                else if (reply.status != ok_status) {
+                    note_failure("status " + std::to_string(reply.status));
+                }
+                else {
+                    note_success();
+                    apply(take_body(reply.body));
+                }
+            });
+    }
+
+    template <class T>
+    mirror_effects take(result<T>&& read)
+    {
+        if (!has_value(read)) {
+            note_failure(to_string(findings_of(read)));
+            return {};
+        }
+        return mirror_.take(std::get<T>(std::move(read)), now());
+    }
+
+    void note_failure(const std::string& reason)
+    {
+        if (mirror_.is_connected() || !has_logged_loss_) {
+            has_logged_loss_ = true;
+            log("store_lost", reason);
+        }
+        apply(mirror_.call_failed(now()));
+        ask_peer();
+    }
+
+    void note_success()
+    {
+        if (std::exchange(has_logged_loss_, false)) {
+            log("store_regained", "");
+        }
+    }
+
+    void ask_peer()
+    {
+        if (!peer_ || peer_revision_ <= mirror_.revision() || is_asking_peer_) {
+            return;
+        }
+        is_asking_peer_ = true;
+        calls_->call({*peer_, "GET", copy_path(kind_), {}, list_timeout},
+                     [this](call_outcome&& outcome) {
+                         is_asking_peer_ = false;
+                         take_peer_answer(outcome);
+                     });
+    }
+
+    void take_peer_answer(const call_outcome& outcome)
+    {
+        const auto* reply = std::get_if<call_reply>(&outcome);
+        if (reply == nullptr || reply->status != ok_status) {
+            log("copy_not_read", peer_->address);
+            return;
+        }
+        auto page = Protocol::read_page(reply->body);
+        if (!has_value(page)) {
+            log("copy_not_read", to_string(findings_of(page)));
+            return;
+        }
+        log("copy_read", peer_->address);
+        apply(mirror_.take_copy(std::get<object_page>(std::move(page)), now()));
+    }
+
+    void log(std::string name, std::string_view reason)
+    {
+        callbacks_.on_log(log_event{std::move(name)}
+                              .add("kind", to_string(kind_))
+                              .add("revision", mirror_.revision().value())
+                              .add("reason", reason));
+    }
+
+    static constexpr int ok_status = 200;
+    static constexpr int history_gone_status = 410;
+    static constexpr duration shortest_timer{1'000};
+
+    event_loop* loop_;
+    call_client* calls_;
+    object_kind kind_;
+    endpoint store_;
+    object_mirror mirror_;
+    mirror_client_callbacks callbacks_;
+    std::optional<outgoing_id> call_;
+    std::optional<endpoint> peer_;
+    store_revision peer_revision_;
+    bool is_asking_peer_ = false;
+    bool has_logged_loss_ = false;
+    timer timer_;
+    timer peer_timer_;
+};
+
+} // namespace endivelatch
--- /dev/null
+++ b/include/endivelatch/mirror/object_mirror.hpp
@@ -0,0 +1,147 @@
+#pragma once
+
+#include "endivelatch/base/hash.hpp"
+#include "endivelatch/base/strong_id.hpp"
+#include "endivelatch/base/time.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+/// A copy of the platform's objects of one kind, kept by listing and watching.
+namespace endivelatch {
+
+/// Revision of the platform's store; grows with each change of any object.
+using store_revision = number_id<struct store_revision_tag>;
+
+/// An object as the platform holds it.
+struct mirrored_object {
+    std::string name;
+    store_revision revision;
+    std::string content; ///< What its writer stored, as text.
+
+    friend bool operator==(const mirrored_object&, const mirrored_object&) = default;
+};
+
+/// One page of a list.
+struct object_page {
+    std::vector<mirrored_object> objects;
+    bool has_more = false;
+    store_revision revision; ///< Of the store when the page was made.
+};
+
+/// One change that a watch reports.
+struct object_change {
+    mirrored_object object;
+    bool is_deleted = false;
+};
+
+/// The answer to a watch.
+struct object_changes {
+    std::vector<object_change> changes;
+    store_revision revision; ///< Where to go on.
+};
+
+/// Read the next page of the list.
+struct list_objects {
+    std::string after; ///< Name of the last object read; empty for the first page.
+};
+
+/// Wait for changes after a revision.
+struct watch_objects {
+    store_revision after;
+    duration wait{}; ///< Longest wait of the platform.
+};
+
+/// The copy has changed.
+struct mirror_updated {
+};
+
+using mirror_effect = std::variant<list_objects, watch_objects, mirror_updated>;
+using mirror_effects = std::vector<mirror_effect>;
+
+/// Times of a mirror.
+struct mirror_settings {
+    duration watch_wait{10'000'000}; ///< Each watch is a priced call; keep-alives find dead ones.
+    duration first_retry{100'000};   ///< After a failed call; doubles up to the longest.
+    duration longest_retry{1'000'000};
+    /// Objects missing right after calls have failed for this long may come back.
+    duration outage{1'000'000};
+    /// Time for which such objects are kept; zero for kinds that do not expire.
+    duration absence_grace{};
+};
+
+/// Decides which call comes next and keeps the copy. A reducer: no I/O, no clock of its own.
+class object_mirror {
+public:
+    object_mirror(const mirror_settings& settings, std::uint64_t seed);
+
+    /// Starts by listing.
+    mirror_effects start(time_point now);
+
+    /// Takes a page of the list that was asked for.
+    mirror_effects take(object_page&& page, time_point now);
+
+    /// Takes the answer to a watch.
+    mirror_effects take(object_changes&& changes, time_point now);
+
+    /// Takes the whole copy of a peer; ignored unless it is newer.
+    mirror_effects take_copy(object_page&& copy, time_point now);
+
+    /// The platform no longer knows the changes since the revision watched.
+    mirror_effects history_gone(time_point now);
+
+    /// The last call failed or was not answered.
+    mirror_effects call_failed(time_point now);
+
+    /// Handles all timers that are due.
+    mirror_effects tick(time_point now);
+
+    /// Returns when `tick` must be called next, or nothing.
+    std::optional<time_point> next_timer() const;
+
+    /// Returns all objects by name.
+    const std::map<std::string, mirrored_object>& objects() const { return objects_; }
+
+    /// Returns the revision of the copy; zero before the first.
+    store_revision revision() const { return revision_; }
+
+    /// Returns whether a whole copy has been read.
+    bool is_known() const { return is_known_; }
+
+    /// Returns whether the last call was answered.
+    bool is_connected() const { return is_connected_; }
+
+    /// Returns when the platform answered last.
+    time_point answered_at() const { return answered_at_; }
+
+private:
+    mirror_effects list_from(std::string after);
+    mirror_effects watch_on(mirror_effects&& effects);
+    void note_answer(time_point now);
+    void remove(const std::string& name, time_point now);
+    bool put(mirrored_object&& object);
+    bool replace_all(std::vector<mirrored_object>&& all, time_point now);
+
+    mirror_settings settings_;
+    random_source random_;
+    std::map<std::string, mirrored_object> objects_;
+    std::map<std::string, time_point> absent_; ///< Removed objects that may come back, until when.
+    std::vector<mirrored_object> pages_;       ///< Pages read so far of the list under way.
+    std::optional<store_revision> list_revision_; ///< Of its first page.
+    store_revision revision_;
+    time_point answered_at_{};
+    std::optional<time_point> failed_since_; ///< First of the calls that failed in a row.
+    time_point restored_at_{}; ///< When the platform answered again after an outage.
+    std::optional<time_point> retry_at_;
+    duration next_retry_{};
+    bool is_known_ = false;
+    bool is_connected_ = false;
+    bool lists_next_ = true; ///< The next call is a list.
+};
+
+} // namespace endivelatch
--- a/include/endivelatch/net/tcp_stream.hpp
+++ b/include/endivelatch/net/tcp_stream.hpp
@@ -42,6 +42,16 @@
     /// Closes the connection; nothing more is reported.
     void close();
 
+    /// Ends the connection when the other end has been silent for about this time, idle or not.
+    void set_silence_limit(duration limit);
+
+    /// Stops or resumes reading, to slow the other end down. While stopped, its close goes
+    /// unnoticed.
+    void pause_reading(bool is_paused);
+
+    /// Returns whether the other end closed its side in order, without a reset.
+    bool was_closed_in_order() const { return was_closed_in_order_; }
+
     /// Returns whether the connection can carry bytes.
     bool is_open() const { return is_open_; }
 
@@ -58,6 +68,8 @@
     int fd_ = -1;
     bool is_open_ = false;
     bool is_flush_posted_ = false;
+    bool is_paused_ = false;
+    bool was_closed_in_order_ = false;
     std::string out_;
     std::unique_ptr<io_watcher> watcher_;
     std::shared_ptr<bool> is_alive_ = std::make_shared<bool>(true); ///< For posted calls.
--- a/src/base/counters.cpp
+++ b/src/base/counters.cpp
@@ -1,5 +1,7 @@
 #include "endivelatch/base/counters.hpp"
 
+#include <algorithm>
+
 namespace endivelatch {
 
 counters::metric& counters::find(std::string_view name, std::string_view labels)
@@ -25,6 +27,36 @@
     find(name, labels) = metric{value, true};
 }
 
+void counters::observe(std::string_view name, duration value)
+{
+    auto it = histograms_.find(name);
+    if (it == histograms_.end()) {
+        it = histograms_.try_emplace(std::string{name}).first;
+    }
+    const auto bucket = std::lower_bound(bucket_bounds.begin(), bucket_bounds.end(), value);
+    ++it->second.buckets.at(static_cast<std::size_t>(bucket - bucket_bounds.begin()));
+    it->second.sum += value;
+}
+
+void counters::append_histograms(std::string& text) const
+{
+    const auto seconds = [](duration d) {
+        return std::to_string(std::chrono::duration<double>{d}.count());
+    };
+    for (const auto& [name, it] : histograms_) {
+        const auto full_name = "endivelatch_" + name + "_seconds";
+        text += "# TYPE " + full_name + " histogram\n";
+        std::uint64_t total = 0;
+        for (std::size_t i = 0; i < it.buckets.size(); ++i) {
+            total += it.buckets.at(i);
+            const auto bound = i < bucket_bounds.size() ? seconds(bucket_bounds.at(i)) : "+Inf";
+            text += full_name + "_bucket{le=\"" + bound + "\"} " + std::to_string(total) + '\n';
+        }
+        text += full_name + "_sum " + seconds(it.sum) + '\n';
+        text += full_name + "_count " + std::to_string(total) + '\n';
+    }
+}
+
 std::int64_t counters::value(std::string_view name, std::string_view labels) const
 {
     const auto it = entries_.find(name);
@@ -47,6 +79,7 @@
             text += ' ' + std::to_string(entry.value) + '\n';
         }
     }
+    append_histograms(text);
     return text;
 }
 
--- a/src/base/log_event.cpp
+++ b/src/base/log_event.cpp
@@ -33,7 +33,7 @@
 
 } // namespace
 
-log_event& log_event::add(std::string_view key, std::string_view value)
+log_event& log_event::add(std::string_view key, std::string_view value) &
 {
     fields_.emplace_back(key, value);
     return *this;
--- a/src/endivelatch/command.hpp
+++ b/src/endivelatch/command.hpp
@@ -32,6 +32,7 @@
 void print_findings(const findings& all);
 
 /// The subcommands. Each takes its own name and arguments and returns the exit code.
+exit_code run_serve(const std::vector<std::string>& args);
 exit_code run_router(const std::vector<std::string>& args);
 exit_code run_admin(const std::vector<std::string>& args);
 exit_code run_entry(const std::vector<std::string>& args);
--- a/src/endivelatch/main.cpp
+++ b/src/endivelatch/main.cpp
@@ -11,11 +11,12 @@
 constexpr const char* usage = R"(endivelatch - a router fleet between callers and their back ends.
 
 Usage:
-  endivelatch (router|admin|entry|timeline|check) [<argument>...]
+  endivelatch (serve|router|admin|entry|timeline|check) [<argument>...]
   endivelatch (-h | --help)
   endivelatch --version
 
 Commands:
+  serve     Runs one entry router on the users' platform.
   router    Runs one router of the fleet.
   admin     Reads and changes the fleet's configuration.
   entry     Asks the fleet which addresses a caller should connect to.
@@ -30,7 +31,7 @@
 const std::map<std::string, command_function>& commands()
 {
     static const std::map<std::string, command_function> all{
-        {"router", endivelatch::run_router}, {"admin", endivelatch::run_admin},
+        {"serve", endivelatch::run_serve},   {"router", endivelatch::run_router}, {"admin", endivelatch::run_admin},
         {"entry", endivelatch::run_entry},   {"timeline", endivelatch::run_timeline},
         {"check", endivelatch::run_check},
     };
--- /dev/null
+++ b/src/endivelatch/serve_command.cpp
@@ -0,0 +1,90 @@
+#include "command.hpp"
+#include "setting_reader.hpp"
+
+#include "endivelatch/entry/entry_process.hpp"
+#include "platform/protocol.hpp"
+
+#include <csignal>
+#include <memory>
+
+#include <spdlog/pattern_formatter.h>
+
+namespace endivelatch {
+
+namespace {
+
+constexpr const char* usage = R"(Runs one entry router, which calls targets itself.
+
+Usage:
+  endivelatch serve [options]
+
+Each option may be given as an environment variable instead: --metrics as ENDIVELATCH_METRICS.
+
+Options:
+  --boot=PATH           Settings file of the platform; read again on SIGHUP and when it changes.
+  --metrics=IP:PORT     Address for counters and histograms; none if not given.
+  --log-level=LEVEL     info, warn or error; info if not given.
+  -h --help             Show this text.
+)";
+
+/// Returns the settings from the file and the flags, or all that is wrong with them.
+result<entry_settings> read_settings(setting_reader& flags, settings_file& file)
+{
+    const auto text = file.read();
+    if (!text) {
+        return one_finding(file.path(), "cannot be read");
+    }
+    auto read = platform::protocol::read_settings(*text);
+    if (!has_value(read)) {
+        return read;
+    }
+    auto settings = std::get<entry_settings>(std::move(read));
+    if (!flags.text("metrics", "").empty()) {
+        settings.metrics = flags.address("metrics");
+    }
+    if (!flags.faults().empty()) {
+        return flags.faults();
+    }
+    return settings;
+}
+
+std::shared_ptr<spdlog::logger> make_logger(const std::shared_ptr<bounded_sink>& sink,
+                                            const std::string& level)
+{
+    auto log = std::make_shared<spdlog::logger>("serve", sink);
+    log->set_formatter(std::make_unique<spdlog::pattern_formatter>(
+        "time=%Y-%m-%dT%H:%M:%S.%eZ level=%l %v", spdlog::pattern_time_type::utc));
+    log->set_level(spdlog::level::from_str(level == "warn" ? "warning" : level));
+    return log;
+}
+
+} // namespace
+
+exit_code run_serve(const std::vector<std::string>& args)
+{
+    const auto parsed = parse_arguments(usage, args);
+    if (const auto* code = std::get_if<exit_code>(&parsed)) {
+        return *code;
+    }
+    setting_reader flags{std::get<arguments>(parsed), process_environment()};
+    settings_file file{flags.required_text("boot")};
+    const auto settings = read_settings(flags, file);
+    if (!has_value(settings)) {
+        print_findings(findings_of(settings));
+        return exit_code::usage;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    const auto sink = make_standard_sink();
+    event_loop loop;
+    entry_process<platform::protocol> process{loop, value_of(settings), file.path(), sink,
+                                              make_logger(sink, flags.text("log-level", "info"))};
+    const auto faults = process.start();
+    if (!faults.empty()) {
+        print_findings(faults);
+        return exit_code::failure;
+    }
+    loop.run();
+    return exit_code::success;
+}
+
+} // namespace endivelatch
--- /dev/null
+++ b/src/entry/bounded_sink.cpp
@@ -0,0 +1,51 @@
+#include "endivelatch/entry/bounded_sink.hpp"
+
+#include <algorithm>
+#include <climits>
+
+#include <poll.h>
+#include <unistd.h>
+
+namespace endivelatch {
+
+void bounded_sink::sink_it_(const spdlog::details::log_msg& msg)
+{
+    spdlog::memory_buf_t line;
+    formatter_->format(msg, line);
+    if (buffer_.size() + line.size() > most_buffered) {
+        ++dropped_;
+        ++unreported_;
+        return;
+    }
+    if (unreported_ > 0 && buffer_.size() < most_buffered / 2) {
+        buffer_ += "event=log_lines_dropped count=" + std::to_string(unreported_) + '\n';
+        unreported_ = 0;
+    }
+    buffer_.append(line.data(), line.size());
+}
+
+void bounded_sink::write_buffered()
+{
+    std::size_t written = 0;
+    while (written < buffer_.size()) {
+        pollfd ready{fd_, POLLOUT, 0};
+        if (poll(&ready, 1, 0) != 1 || (ready.revents & POLLOUT) == 0) {
+            break;
+        }
+        // A pipe that is ready takes this many bytes without blocking.
+        const auto n = std::min<std::size_t>(buffer_.size() - written, PIPE_BUF);
+        const auto done = ::write(fd_, buffer_.data() + written, n);
+        if (done <= 0) {
+            break;
+        }
+        written += static_cast<std::size_t>(done);
+    }
+    buffer_.erase(0, written);
+}
+
+std::shared_ptr<bounded_sink> make_standard_sink()
+{
+    return std::make_shared<bounded_sink>(STDOUT_FILENO);
+}
+
+} // namespace endivelatch
--- /dev/null
+++ b/src/entry/call_client.cpp
@@ -0,0 +1,57 @@
+#include "endivelatch/entry/call_client.hpp"
+
+#include "endivelatch/http1/message_writer.hpp"
+
+#include <utility>
+
+namespace endivelatch {
+
+call_client::call_client(event_loop& loop)
+    : pool_{loop,
+            {[this](outgoing_id id, answer_head&& head) { calls_[id].reply.status = head.status; },
+             [this](outgoing_id id, std::string_view bytes) { calls_[id].reply.body += bytes; },
+             [this](outgoing_id id) { end(id, std::move(calls_[id].reply)); },
+             [this](outgoing_id id, attempt_stage, const std::string& reason) {
+                 end(id, call_failed{reason});
+             }}}
+{
+}
+
+outgoing_id call_client::call(const outgoing_call& request,
+                              std::function<void(call_outcome&&)> on_end)
+{
+    ++made_;
+    outgoing_request out;
+    out.to = request.to;
+    out.is_idempotent = true;
+    out.timeout = request.timeout;
+    out.bytes = request.method + " " + request.target + " HTTP/1.1\r\n";
+    append_header(out.bytes, "Host", request.to.address + ":" + std::to_string(request.to.port));
+    if (!request.body.empty()) {
+        append_header(out.bytes, "Content-Type", "application/json");
+        append_header(out.bytes, "Content-Length", std::to_string(request.body.size()));
+    }
+    out.bytes += "\r\n" + request.body;
+    const auto id = pool_.send(std::move(out));
+    calls_[id].on_end = std::move(on_end);
+    return id;
+}
+
+void call_client::cancel(outgoing_id id)
+{
+    pool_.cancel(id);
+    calls_.erase(id);
+}
+
+void call_client::end(outgoing_id id, call_outcome&& outcome)
+{
+    const auto it = calls_.find(id);
+    if (it == calls_.end()) {
+        return;
+    }
+    const auto on_end = std::move(it->second.on_end);
+    calls_.erase(it);
+    on_end(std::move(outcome));
+}
+
+} // namespace endivelatch
--- /dev/null
+++ b/src/entry/fleet_view.cpp
@@ -0,0 +1,225 @@
+#include "endivelatch/entry/fleet_view.hpp"
+
+#include "endivelatch/wire/codec.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace endivelatch {
+
+namespace {
+
+const summary_key ready_key{summary_kind::router_state, "ready"};
+constexpr std::string_view is_ready_text = "1";
+constexpr duration shortest_timer = std::chrono::milliseconds{1};
+
+summary_key copy_key(object_kind kind)
+{
+    return {summary_kind::config_version, std::string{to_string(kind)}};
+}
+
+std::optional<object_kind> kind_of(const summary_key& key)
+{
+    for (const auto kind : {object_kind::configuration, object_kind::targets}) {
+        if (key == copy_key(kind)) {
+            return kind;
+        }
+    }
+    return std::nullopt;
+}
+
+member make_self(const entry_settings& settings, incarnation run)
+{
+    member self;
+    self.id = settings.id;
+    self.run = run;
+    self.domain = settings.domain;
+    self.region = settings.region;
+    self.gossip = settings.gossip;
+    self.link = settings.peers;
+    self.http = settings.requests;
+    return self;
+}
+
+membership_settings make_settings()
+{
+    membership_settings all;
+    all.period = std::chrono::milliseconds{400};
+    all.direct_timeout = std::chrono::milliseconds{150};
+    all.probe_timeout = std::chrono::milliseconds{350};
+    all.suspicion_base_periods = 4;
+    return all;
+}
+
+} // namespace
+
+std::string_view to_string(object_kind kind)
+{
+    switch (kind) {
+    case object_kind::configuration:
+        return "configuration";
+    case object_kind::targets:
+        return "targets";
+    case object_kind::routers:
+        return "routers";
+    }
+    return "unknown";
+}
+
+fleet_view::fleet_view(event_loop& loop, const entry_settings& settings, incarnation run,
+                       fleet_view_callbacks callbacks)
+    : loop_{&loop}, callbacks_{std::move(callbacks)}, self_{settings.id},
+      membership_{make_self(settings, run), make_settings(), stable_hash(settings.id.str())},
+      socket_{loop, [this](const endpoint& from, std::string_view bytes) { receive(from, bytes); }},
+      address_{settings.gossip}, timer_{loop, [this] { tick(); }}
+{
+    add_seeds(settings.seeds);
+}
+
+findings fleet_view::start()
+{
+    auto faults = socket_.start(address_);
+    tick();
+    return faults;
+}
+
+void fleet_view::add_seeds(const std::vector<endpoint>& seeds)
+{
+    for (const auto& it : seeds) {
+        if (it != address_ && std::find(seeds_.begin(), seeds_.end(), it) == seeds_.end()) {
+            seeds_.push_back(it);
+        }
+    }
+    membership_.seeds(seeds_);
+}
+
+void fleet_view::publish_ready(bool is_ready)
+{
+    membership_.publish(ready_key, summary_scope::fleet, is_ready ? is_ready_text : "0");
+}
+
+void fleet_view::publish_copy(object_kind kind, store_revision revision)
+{
+    membership_.publish(copy_key(kind), summary_scope::fleet, std::to_string(revision.value()));
+}
+
+void fleet_view::leave()
+{
+    apply(membership_.leave(loop_->now()));
+}
+
+std::uint32_t fleet_view::live_count() const
+{
+    return static_cast<std::uint32_t>(std::max<std::size_t>(membership_.live().size(), 1));
+}
+
+std::vector<endpoint> fleet_view::ready_peers() const
+{
+    std::vector<endpoint> addresses;
+    for (const auto& it : membership_.live()) {
+        const auto ready = ready_.find(it.id);
+        if (it.id != self_ && it.status == member_status::alive && ready != ready_.end() &&
+            ready->second) {
+            addresses.push_back(it.http);
+        }
+    }
+    return addresses;
+}
+
+const member* fleet_view::newest_holder(object_kind kind, store_revision than) const
+{
+    const auto of_kind = copies_.find(kind);
+    if (of_kind == copies_.end()) {
+        return nullptr;
+    }
+    const member* holder = nullptr;
+    for (const auto& [id, revision] : of_kind->second) {
+        const auto* it = membership_.find(id);
+        if (it != nullptr && it->status != member_status::dead && revision > than) {
+            than = revision;
+            holder = it;
+        }
+    }
+    return holder;
+}
+
+void fleet_view::receive(const endpoint& from, std::string_view bytes)
+{
+    auto packet = decode_gossip(bytes);
+    if (!has_value(packet)) {
+        callbacks_.on_log(log_event{"gossip_unreadable"}
+                              .add("from", from.address)
+                              .add("reason", to_string(findings_of(packet))));
+        return;
+    }
+    apply(membership_.handle(value_of(packet), from, loop_->now()));
+}
+
+void fleet_view::tick()
+{
+    apply(membership_.tick(loop_->now()));
+    schedule();
+}
+
+void fleet_view::schedule()
+{
+    timer_.start(std::max(membership_.next_timer() - loop_->now(), shortest_timer));
+}
+
+void fleet_view::apply(membership_effects&& effects)
+{
+    for (auto& it : effects) {
+        std::visit([this](auto& e) { act(e); }, it);
+    }
+}
+
+void fleet_view::act(send_packet& e)
+{
+    const auto bytes = encode(e.packet);
+    bytes_sent_ += bytes.size();
+    socket_.send(e.to, bytes);
+}
+
+void fleet_view::act(member_changed& e)
+{
+    callbacks_.on_log(log_event{"router_changed"}
+                          .add("router", e.member.id)
+                          .add("status", to_string(e.member.status))
+                          .add("run", e.member.run.value())
+                          .add("former", e.former ? to_string(*e.former) : "unknown"));
+    callbacks_.on_members_changed();
+}
+
+void fleet_view::act(summary_changed& e)
+{
+    if (e.key == ready_key) {
+        ready_[e.router] = e.value == is_ready_text;
+        return;
+    }
+    const auto kind = kind_of(e.key);
+    if (!kind) {
+        return;
+    }
+    std::uint64_t revision = 0;
+    std::from_chars(e.value.data(), e.value.data() + e.value.size(), revision);
+    copies_[*kind][e.router] = store_revision{revision};
+    const auto* holder = membership_.find(e.router);
+    if (holder != nullptr) {
+        callbacks_.on_newer_copy(*kind, *holder, store_revision{revision});
+    }
+}
+
+void fleet_view::act(config_seen&) {} // Copies are compared by their summaries.
+
+void fleet_view::act(run_superseded& e)
+{
+    callbacks_.on_log(log_event{"run_superseded"}.add("by", e.by.value()));
+}
+
+void fleet_view::act(pause_noticed& e)
+{
+    callbacks_.on_pause(e.late);
+}
+
+} // namespace endivelatch
--- /dev/null
+++ b/src/http1/answer_reader.cpp
@@ -0,0 +1,160 @@
+#include "endivelatch/http1/answer_reader.hpp"
+
+#include "header_collector.hpp"
+
+#include <utility>
+
+#include <http_parser.h>
+
+namespace endivelatch {
+
+namespace {
+
+constexpr int first_final_status = 200;
+
+} // namespace
+
+struct answer_reader::parser {
+    explicit parser(answer_callbacks c) : callbacks{std::move(c)} { start(); }
+
+    /// Prepares for the next answer.
+    void start()
+    {
+        http_parser_init(&state, HTTP_RESPONSE);
+        state.data = this;
+        begin_head();
+        is_complete = false;
+    }
+
+    /// Forgets the head read so far.
+    void begin_head()
+    {
+        head = {};
+        collector = header_collector{head.headers};
+        has_head = false;
+    }
+
+    bool is_interim() const { return state.status_code < first_final_status; }
+    void report_head();
+
+    static parser& of(http_parser* p) { return *static_cast<parser*>(p->data); }
+    static const http_parser_settings& settings();
+
+    answer_callbacks callbacks;
+    http_parser state{};
+    answer_head head;
+    header_collector collector{head.headers};
+    bool to_head_request = false;
+    bool has_head = false;
+    bool is_complete = false;
+    bool has_failed = false;
+};
+
+void answer_reader::parser::report_head()
+{
+    head.status = static_cast<int>(state.status_code);
+    head.keeps_alive = http_should_keep_alive(&state) != 0;
+    const bool is_chunked = find_any_case(head.headers, "transfer-encoding") != nullptr;
+    const bool has_length = find_any_case(head.headers, "content-length") != nullptr;
+    const bool has_body = !to_head_request && head.status != 204 && head.status != 304;
+    head.ends_with_connection = has_body && !is_chunked && !has_length;
+    if (has_length && !is_chunked) {
+        head.length = state.content_length;
+    }
+    callbacks.on_head(std::move(head));
+}
+
+const http_parser_settings& answer_reader::parser::settings()
+{
+    static const auto all = [] {
+        http_parser_settings s{};
+        http_parser_settings_init(&s);
+        s.on_header_field = [](http_parser* p, const char* at, std::size_t n) {
+            if (!of(p).has_head) { // Trailers are dropped.
+                of(p).collector.add_name(at, n);
+            }
+            return 0;
+        };
+        s.on_header_value = [](http_parser* p, const char* at, std::size_t n) {
+            if (!of(p).has_head) {
+                of(p).collector.add_value(at, n);
+            }
+            return 0;
+        };
+        s.on_headers_complete = [](http_parser* p) {
+            auto& it = of(p);
+            it.has_head = true;
+            if (!it.is_interim()) {
+                it.report_head();
+            }
+            return it.to_head_request ? 1 : 0;
+        };
+        s.on_body = [](http_parser* p, const char* at, std::size_t n) {
+            of(p).callbacks.on_body({at, n});
+            return 0;
+        };
+        s.on_message_complete = [](http_parser* p) {
+            auto& it = of(p);
+            if (it.is_interim()) {
+                it.begin_head();
+                return 0;
+            }
+            it.is_complete = true;
+            http_parser_pause(p, 1);
+            return 0;
+        };
+        return s;
+    }();
+    return all;
+}
+
+answer_reader::answer_reader(answer_callbacks callbacks)
+    : parser_{std::make_unique<parser>(std::move(callbacks))}
+{
+}
+
+answer_reader::~answer_reader() = default;
+
+std::size_t answer_reader::feed(std::string_view bytes)
+{
+    if (parser_->is_complete || parser_->has_failed || bytes.empty()) {
+        return 0;
+    }
+    const auto n =
+        http_parser_execute(&parser_->state, &parser::settings(), bytes.data(), bytes.size());
+    if (parser_->is_complete) {
+        parser_->callbacks.on_complete();
+        return n;
+    }
+    parser_->has_failed = HTTP_PARSER_ERRNO(&parser_->state) != HPE_OK || n < bytes.size();
+    return n;
+}
+
+void answer_reader::end_of_input()
+{
+    if (parser_->is_complete || parser_->has_failed) {
+        return;
+    }
+    http_parser_execute(&parser_->state, &parser::settings(), nullptr, 0);
+    if (parser_->is_complete) {
+        parser_->callbacks.on_complete();
+    }
+}
+
+bool answer_reader::has_failed() const
+{
+    return parser_->has_failed;
+}
+
+bool answer_reader::is_complete() const
+{
+    return parser_->is_complete;
+}
+
+void answer_reader::next(bool to_head_request)
+{
+    parser_->start();
+    parser_->to_head_request = to_head_request;
+}
+
+} // namespace endivelatch
--- /dev/null
+++ b/src/http1/request_reader.cpp
@@ -0,0 +1,252 @@
+#include "endivelatch/http1/request_reader.hpp"
+
+#include "head_check.hpp"
+#include "header_collector.hpp"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include <http_parser.h>
+
+namespace endivelatch {
+
+namespace {
+
+constexpr std::string_view head_end = "\r\n\r\n";
+
+/// Returns how often a header occurs.
+std::ptrdiff_t count_of(const http_headers& headers, std::string_view name)
+{
+    return std::count_if(headers.begin(), headers.end(),
+                         [&](const auto& it) { return is_same_name(it.name, name); });
+}
+
+/// Returns whether the head leaves no doubt about the host, the path and the end of the body.
+bool is_unambiguous(const request_head& head)
+{
+    const auto& headers = head.headers;
+    if (count_of(headers, "host") != 1 || count_of(headers, "content-length") > 1) {
+        return false;
+    }
+    const auto codings = count_of(headers, "transfer-encoding");
+    if (codings > 1 || (codings == 1 && count_of(headers, "content-length") > 0)) {
+        return false;
+    }
+    const auto* coding = find_any_case(headers, "transfer-encoding");
+    if (coding != nullptr && !is_same_name(*coding, "chunked")) {
+        return false;
+    }
+    const auto* length = find_any_case(headers, "content-length");
+    const auto is_digit = [](char c) { return c >= '0' && c <= '9'; };
+    if (length != nullptr && (length->empty() || !std::all_of(length->begin(), length->end(),
+                                                              is_digit))) {
+        return false;
+    }
+    return !head.target.empty() && head.target.front() == '/';
+}
+
+} // namespace
+
+struct request_reader::parser {
+    explicit parser(request_limits l) : limits{l} { start(); }
+
+    /// Prepares for the next request.
+    void start()
+    {
+        http_parser_init(&state, HTTP_REQUEST);
+        state.data = this;
+        head_bytes.clear();
+        head = {};
+        collector = header_collector{head.headers};
+        body.clear();
+        has_head = false;
+        is_complete = false;
+        limits = next_limits.value_or(limits);
+    }
+
+    std::size_t feed_head(std::string_view bytes);
+    std::size_t feed_body(std::string_view bytes);
+    void parse_head();
+
+    static parser& of(http_parser* p) { return *static_cast<parser*>(p->data); }
+    static const http_parser_settings& callbacks();
+
+    request_limits limits;
+    std::optional<request_limits> next_limits;
+    http_parser state{};
+    std::string head_bytes;
+    request_head head;
+    std::string body;
+    bool has_head = false;
+    bool is_complete = false;
+    header_collector collector{head.headers};
+    request_fault fault = request_fault::none;
+};
+
+const http_parser_settings& request_reader::parser::callbacks()
+{
+    static const auto all = [] {
+        http_parser_settings s{};
+        http_parser_settings_init(&s);
+        s.on_url = [](http_parser* p, const char* at, std::size_t n) {
+            of(p).head.target.append(at, n);
+            return 0;
+        };
+        s.on_header_field = [](http_parser* p, const char* at, std::size_t n) {
+            if (!of(p).has_head) { // Trailers are dropped, so that they cannot pass for headers.
+                of(p).collector.add_name(at, n);
+            }
+            return 0;
+        };
+        s.on_header_value = [](http_parser* p, const char* at, std::size_t n) {
+            if (!of(p).has_head) {
+                of(p).collector.add_value(at, n);
+            }
+            return 0;
+        };
+        s.on_headers_complete = [](http_parser* p) {
+            auto& it = of(p);
+            it.has_head = true;
+            it.head.keeps_alive = http_should_keep_alive(p) != 0;
+            return 0;
+        };
+        s.on_body = [](http_parser* p, const char* at, std::size_t n) {
+            auto& it = of(p);
+            if (it.body.size() + n > it.limits.body) {
+                it.fault = request_fault::body_too_large;
+                return 1;
+            }
+            it.body.append(at, n);
+            return 0;
+        };
+        s.on_message_complete = [](http_parser* p) {
+            of(p).is_complete = true;
+            http_parser_pause(p, 1);
+            return 0;
+        };
+        return s;
+    }();
+    return all;
+}
+
+std::size_t request_reader::parser::feed_head(std::string_view bytes)
+{
+    std::size_t skipped = 0;
+    while (head_bytes.empty() && bytes.substr(0, 2) == "\r\n") {
+        bytes.remove_prefix(2); // Empty lines before a request are allowed (RFC 9112, 2.2).
+        skipped += 2;
+    }
+    const auto known = head_bytes.size();
+    head_bytes.append(bytes);
+    const auto from = known < head_end.size() ? 0 : known - head_end.size();
+    const auto end = head_bytes.find(head_end, from);
+    const auto size = end == std::string::npos ? head_bytes.size() : end + head_end.size();
+    if (size > limits.head) {
+        fault = request_fault::head_too_large;
+        return 0;
+    }
+    if (end == std::string::npos) {
+        return skipped + bytes.size();
+    }
+    head_bytes.resize(size);
+    parse_head();
+    return skipped + size - known;
+}
+
+void request_reader::parser::parse_head()
+{
+    if (!is_strict_head(head_bytes)) {
+        fault = request_fault::malformed;
+        return;
+    }
+    const auto n = http_parser_execute(&state, &callbacks(), head_bytes.data(), head_bytes.size());
+    const auto error = HTTP_PARSER_ERRNO(&state);
+    if ((error != HPE_OK && error != HPE_PAUSED) || !has_head || n != head_bytes.size()) {
+        fault = request_fault::malformed;
+        return;
+    }
+    head.method = http_method_str(static_cast<http_method>(state.method));
+    head.is_chunked = find_any_case(head.headers, "transfer-encoding") != nullptr;
+    const auto* length = find_any_case(head.headers, "content-length");
+    if (!is_unambiguous(head)) {
+        fault = request_fault::malformed;
+    }
+    else if (length != nullptr && !is_complete && state.content_length > limits.body) {
+        fault = request_fault::body_too_large;
+    }
+    std::string{}.swap(head_bytes);
+}
+
+std::size_t request_reader::parser::feed_body(std::string_view bytes)
+{
+    const auto n = http_parser_execute(&state, &callbacks(), bytes.data(), bytes.size());
+    const auto error = HTTP_PARSER_ERRNO(&state);
+    if (is_complete) {
+        return n;
+    }
+    if (error != HPE_OK && fault == request_fault::none) {
+        fault = request_fault::malformed;
+    }
+    return n;
+}
+
+request_reader::request_reader(request_limits limits) : parser_{std::make_unique<parser>(limits)}
+{
+}
+
+request_reader::~request_reader() = default;
+request_reader::request_reader(request_reader&&) noexcept = default;
+request_reader& request_reader::operator=(request_reader&&) noexcept = default;
+
+std::size_t request_reader::feed(std::string_view bytes)
+{
+    std::size_t taken = 0;
+    while (taken < bytes.size() && !is_complete() && fault() == request_fault::none) {
+        const auto rest = bytes.substr(taken);
+        taken += has_head() ? parser_->feed_body(rest) : parser_->feed_head(rest);
+    }
+    return taken;
+}
+
+bool request_reader::has_started() const
+{
+    return parser_->has_head || !parser_->head_bytes.empty();
+}
+
+bool request_reader::has_head() const
+{
+    return parser_->has_head;
+}
+
+bool request_reader::is_complete() const
+{
+    return parser_->is_complete;
+}
+
+request_fault request_reader::fault() const
+{
+    return parser_->fault;
+}
+
+const request_head& request_reader::head() const
+{
+    return parser_->head;
+}
+
+std::string request_reader::take_body()
+{
+    return std::move(parser_->body);
+}
+
+void request_reader::next()
+{
+    parser_->start();
+}
+
+void request_reader::set_limits(request_limits limits)
+{
+    parser_->next_limits = limits;
+}
+
+} // namespace endivelatch
--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -2,6 +2,7 @@
 
 #include "socket_address.hpp"
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <cstring>
@@ -95,6 +96,28 @@
     }
 }
 
+void tcp_stream::set_silence_limit(duration limit)
+{
+    constexpr int probes = 2;
+    const auto ms = std::chrono::ceil<std::chrono::milliseconds>(limit).count();
+    const auto user_timeout = static_cast<unsigned>(ms);
+    const int interval = std::max(1, static_cast<int>(ms / 1'000 / (probes + 1)));
+    const int on = 1;
+    setsockopt(fd_, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+    setsockopt(fd_, IPPROTO_TCP, TCP_KEEPIDLE, &interval, sizeof interval);
+    setsockopt(fd_, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof interval);
+    setsockopt(fd_, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+    setsockopt(fd_, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout, sizeof user_timeout);
+}
+
+void tcp_stream::pause_reading(bool is_paused)
+{
+    is_paused_ = is_paused;
+    if (is_open_) {
+        watcher_->watch({!is_paused_, !out_.empty()});
+    }
+}
+
 void tcp_stream::on_ready(io_interest ready)
 {
     if (!is_open_) {
@@ -129,12 +152,13 @@
 void tcp_stream::read_all()
 {
     thread_local std::array<char, read_size> buf;
-    for (int i = 0; i < max_reads && is_open_; ++i) {
+    for (int i = 0; i < max_reads && is_open_ && !is_paused_; ++i) {
         const auto n = recv(fd_, buf.data(), buf.size(), 0);
         if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
             return;
         }
         if (n <= 0) {
+            was_closed_in_order_ = n == 0;
             fail(n == 0 ? "closed by the peer" : std::strerror(errno));
             return;
         }
@@ -156,7 +180,7 @@
         return;
     }
     out_.erase(0, n > 0 ? static_cast<std::size_t>(n) : 0);
-    watcher_->watch({true, !out_.empty()});
+    watcher_->watch({!is_paused_, !out_.empty()});
     if (out_.empty() && callbacks_.on_written) {
         callbacks_.on_written();
     }
--- /dev/null
+++ b/src/traffic/event_splitter.cpp
@@ -0,0 +1,59 @@
+#include "endivelatch/traffic/event_splitter.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+namespace endivelatch {
+
+namespace {
+
+/// Returns the size of the first event with its empty line, or zero when it has not ended.
+std::size_t event_size(std::string_view bytes)
+{
+    const auto lf = bytes.find("\n\n");
+    const auto crlf = bytes.find("\r\n\r\n");
+    if (lf == std::string_view::npos && crlf == std::string_view::npos) {
+        return 0;
+    }
+    return lf < crlf ? lf + 2 : crlf + 4;
+}
+
+/// Returns the number in the event's `id` field.
+std::optional<std::uint64_t> event_id(std::string_view event)
+{
+    constexpr std::string_view field = "id:";
+    while (!event.empty()) {
+        const auto end = std::min(event.find('\n'), event.size());
+        auto line = event.substr(0, end);
+        event.remove_prefix(std::min(end + 1, event.size()));
+        if (!line.starts_with(field)) {
+            continue;
+        }
+        line.remove_prefix(field.size());
+        line.remove_prefix(std::min(line.find_first_not_of(' '), line.size()));
+        std::uint64_t id = 0;
+        const auto read = std::from_chars(line.data(), line.data() + line.size(), id);
+        if (read.ec == std::errc{}) {
+            return id;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::vector<stream_event> event_splitter::feed(std::string_view bytes)
+{
+    rest_.append(bytes);
+    std::vector<stream_event> events;
+    std::string_view unread{rest_};
+    for (auto n = event_size(unread); n > 0; n = event_size(unread)) {
+        const auto event = unread.substr(0, n);
+        events.push_back({std::string{event}, event_id(event)});
+        unread.remove_prefix(n);
+    }
+    rest_.erase(0, rest_.size() - unread.size());
+    return events;
+}
+
+} // namespace endivelatch
--- /dev/null
+++ b/src/traffic/target_choice.cpp
@@ -0,0 +1,175 @@
+#include "endivelatch/traffic/target_choice.hpp"
+
+#include "endivelatch/base/hash.hpp"
+#include "endivelatch/routing/rendezvous.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <span>
+#include <vector>
+
+namespace endivelatch {
+
+namespace {
+
+/// A target with its estimates.
+struct candidate {
+    target_state* target = nullptr;
+    double in_flight = 0;
+    double cost_ms = 0;
+    std::uint32_t unread_tokens = 0;
+    bool is_home = false;
+    std::uint64_t rank = 0; ///< Weight in the rendezvous order.
+};
+
+/// Returns the parts that other requests may share: all but the last.
+std::span<const prompt_part> shared_parts(const prompt_facts& prompt)
+{
+    const std::span<const prompt_part> all{prompt.parts};
+    return all.empty() ? all : all.first(all.size() - 1);
+}
+
+/// Returns the hash that places a prompt: of its last shared part, or of the request.
+std::uint64_t placement_hash(const choice_query& query)
+{
+    if (query.prompt == nullptr) {
+        return query.request_hash;
+    }
+    const auto shared = shared_parts(*query.prompt);
+    return shared.empty() ? query.request_hash : mix_bits(shared.back().id);
+}
+
+std::vector<candidate> estimate_load(const choice_query& query,
+                                     const std::vector<target_state*>& targets, time_point now)
+{
+    double own = 0;
+    for (const auto* it : targets) {
+        own += it->own_in_flight();
+    }
+    const auto mean_own = own / static_cast<double>(std::max<std::size_t>(targets.size(), 1));
+    const auto expected_others = mean_own * (std::max(query.routers, 1U) - 1);
+    const auto place = placement_hash(query);
+    std::vector<candidate> all;
+    all.reserve(targets.size());
+    for (auto* it : targets) {
+        candidate c;
+        c.target = it;
+        c.in_flight = it->own_in_flight() + it->others_in_flight(expected_others, now);
+        c.rank = rendezvous_weight(place, it->hash());
+        all.push_back(c);
+    }
+    return all;
+}
+
+double domain_cost(const choice_query& query, const candidate& it)
+{
+    return it.target->facts().domain == query.domain ? 0 : other_domain_ms;
+}
+
+/// Sets the expected time to the first token. The first in the rendezvous order is taken to have
+/// the shared parts, since all routers send them there.
+void estimate_engine(const choice_query& query, candidate& it, time_point now)
+{
+    const auto shared = shared_parts(*query.prompt);
+    auto cached = it.target->cached_tokens(query.prompt->parts, now);
+    if (it.is_home) {
+        std::uint32_t tokens = 0;
+        for (const auto& part : shared) {
+            tokens += part.tokens;
+        }
+        cached = std::max(cached, tokens);
+    }
+    it.unread_tokens = query.prompt->tokens - std::min(cached, query.prompt->tokens);
+    const auto unread = static_cast<double>(it.unread_tokens + it.target->unread_tokens());
+    it.cost_ms = unread / prompt_tokens_per_ms + it.in_flight * engine_ms_per_request +
+                 domain_cost(query, it);
+}
+
+/// Sets the expected wait for a slot, and a small cost for each slot taken.
+void estimate_service(const choice_query& query, candidate& it)
+{
+    const double slots = std::max(it.target->facts().slots, 1U);
+    const auto waiting = std::max(0.0, it.in_flight + 1 - slots);
+    it.cost_ms = (waiting + it.in_flight) * service_ms / slots + domain_cost(query, it);
+}
+
+/// Returns whether the target may take one more request.
+bool is_below_bound(const choice_query& query, const candidate& it, double mean, time_point now)
+{
+    if (it.target->is_ejected(now) || it.target->is_full(now)) {
+        return false;
+    }
+    const auto bound = query.load_bound * load_bound_share * mean + load_allowance;
+    if (it.in_flight + 1 > std::max(bound, 1.0)) {
+        return false;
+    }
+    const double slots = it.target->facts().slots;
+    return query.prompt != nullptr || slots == 0 ||
+           it.in_flight < slots * (1 + service_queue_share);
+}
+
+/// Orders by cost; equal ones by the rendezvous order.
+bool is_better(const candidate& a, const candidate& b)
+{
+    return a.cost_ms < b.cost_ms || (a.cost_ms == b.cost_ms && a.rank > b.rank);
+}
+
+} // namespace
+
+std::string_view to_string(no_target_reason reason)
+{
+    switch (reason) {
+    case no_target_reason::none_registered:
+        return "none_registered";
+    case no_target_reason::all_tried:
+        return "all_tried";
+    case no_target_reason::all_full:
+        return "all_full";
+    }
+    return "unknown";
+}
+
+choice choose_target(const choice_query& query, const target_table& table, time_point now)
+{
+    const auto& targets = table.ready(query.pool);
+    if (targets.empty()) {
+        return no_target_reason::none_registered;
+    }
+    auto all = estimate_load(query, targets, now);
+    double total = 0;
+    for (const auto& it : all) {
+        total += it.in_flight;
+    }
+    const auto mean = total / static_cast<double>(all.size());
+    const auto home = std::max_element(
+        all.begin(), all.end(), [](const auto& a, const auto& b) { return a.rank < b.rank; });
+    home->is_home = true;
+
+    const candidate* best = nullptr;
+    const candidate* fallback = nullptr; ///< Above its bound or ejected, but not known as full.
+    for (auto& it : all) {
+        if (query.tried != nullptr && query.tried->contains(it.target->facts().id)) {
+            continue;
+        }
+        query.prompt != nullptr ? estimate_engine(query, it, now) : estimate_service(query, it);
+        if (is_below_bound(query, it, mean, now)) {
+            best = best == nullptr || is_better(it, *best) ? &it : best;
+        }
+        else if (!it.target->is_full(now)) {
+            fallback = fallback == nullptr || it.in_flight < fallback->in_flight ? &it : fallback;
+        }
+    }
+    if (best == nullptr && query.tried != nullptr && query.tried->size() >= all.size()) {
+        return no_target_reason::all_tried;
+    }
+    if (best == nullptr) {
+        best = fallback;
+    }
+    if (best == nullptr) {
+        return no_target_reason::all_full;
+    }
+    return chosen_target{best->target, best->in_flight,     mean,
+                         best->cost_ms, best->unread_tokens, best->is_home};
+}
+
+} // namespace endivelatch
--- /dev/null
+++ b/src/traffic/target_state.cpp
@@ -0,0 +1,121 @@
+#include "endivelatch/traffic/target_state.hpp"
+
+#include "endivelatch/base/hash.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace endivelatch {
+
+target_state::target_state(registered_target facts)
+    : facts_{std::move(facts)}, hash_{stable_hash(facts_.id.str())}
+{
+}
+
+void target_state::update(const registered_target& facts)
+{
+    if (facts.started != facts_.started || facts.address != facts_.address) {
+        *this = target_state{facts};
+        return;
+    }
+    facts_ = facts;
+}
+
+void target_state::sent(std::uint32_t unread_tokens)
+{
+    ++own_in_flight_;
+    unread_tokens_ += unread_tokens;
+}
+
+void target_state::prompt_read(std::uint32_t unread_tokens)
+{
+    // Attempts at an earlier start of the target may end after its counts were reset.
+    unread_tokens_ -= std::min<std::uint64_t>(unread_tokens_, unread_tokens);
+}
+
+void target_state::ended()
+{
+    own_in_flight_ -= std::min(own_in_flight_, 1U);
+}
+
+void target_state::report(const target_load& load, time_point now)
+{
+    load_ = load;
+    own_at_report_ = own_in_flight_;
+    reported_at_ = now;
+}
+
+void target_state::note(attempt_outcome outcome, time_point now)
+{
+    if (outcome == attempt_outcome::refused) {
+        full_until_ = now + full_time;
+        return;
+    }
+    const bool has_failed = outcome == attempt_outcome::failed;
+    outcomes_.at(outcome_index_) = {now, has_failed};
+    outcome_index_ = (outcome_index_ + 1) % outcome_count;
+    const auto failures = std::count_if(outcomes_.begin(), outcomes_.end(), [&](const auto& it) {
+        return it.has_failed && now - it.at < failure_lifetime;
+    });
+    if (has_failed && failures >= ejecting_failures) {
+        eject(now);
+    }
+    if (failures == 0) {
+        next_ejection_ = shortest_ejection;
+    }
+}
+
+void target_state::eject(time_point now)
+{
+    ejected_until_ = now + next_ejection_;
+    next_ejection_ = std::min(next_ejection_ * 2, longest_ejection);
+}
+
+double target_state::others_in_flight(double expected, time_point now) const
+{
+    if (!load_) {
+        return expected;
+    }
+    const auto total = static_cast<double>(load_->running) + load_->waiting;
+    const auto reported = std::max(0.0, total - own_at_report_);
+    const auto age = std::chrono::duration<double>{now - reported_at_};
+    const auto weight =
+        std::clamp(1.0 - age / std::chrono::duration<double>{report_lifetime}, 0.0, 1.0);
+    return reported * weight + expected * (1.0 - weight);
+}
+
+std::optional<duration> target_state::report_age(time_point now) const
+{
+    if (!load_) {
+        return std::nullopt;
+    }
+    return now - reported_at_;
+}
+
+void target_state::remember(std::span<const prompt_part> parts, time_point now)
+{
+    for (const auto& it : parts) {
+        parts_[it.id] = now;
+    }
+    if (parts_.size() > most_parts) {
+        std::erase_if(parts_, [&](const auto& it) { return now - it.second > part_lifetime / 2; });
+    }
+    if (parts_.size() > most_parts) {
+        parts_.clear();
+    }
+}
+
+std::uint32_t target_state::cached_tokens(std::span<const prompt_part> parts, time_point now) const
+{
+    std::uint32_t tokens = 0;
+    for (const auto& it : parts) {
+        const auto found = parts_.find(it.id);
+        if (found == parts_.end() || now - found->second > part_lifetime) {
+            break;
+        }
+        tokens += it.tokens;
+    }
+    return tokens;
+}
+
+} // namespace endivelatch
--- /dev/null
+++ b/src/traffic/traffic_arrivals.cpp
@@ -0,0 +1,63 @@
+#include "endivelatch/traffic/traffic_router.hpp"
+
+#include "endivelatch/base/hash.hpp"
+
+#include <algorithm>
+
+namespace endivelatch {
+
+void traffic_router::refuse_arrival(exchange_number number, const caller_request& request,
+                                    int status, std::string_view reason)
+{
+    std::optional<duration> retry_after;
+    if (status == 503) {
+        retry_after = unknown_retry_after;
+    }
+    log(log_event{"request_refused"}
+            .add("request", request.id)
+            .add("status", status)
+            .add("reason", reason)
+            .add("host", request.host)
+            .add("path", request.path())
+            .add("config", configuration_ ? configuration_->version().value() : 0));
+    metrics_.add("requests_refused", 1, "status=\"" + std::to_string(status) + "\"");
+    effects_.emplace_back(refuse_request{number, status, retry_after, std::string{reason}});
+}
+
+bool traffic_router::admit(exchange_number number, const caller_request& request, exchange& it)
+{
+    if (!is_ready()) {
+        refuse_arrival(number, request, 503, "configuration or targets not known yet");
+        return false;
+    }
+    const auto* route = configuration_->find_route(request.host, request.path());
+    if (route == nullptr) {
+        refuse_arrival(number, request, 404, "no route");
+        return false;
+    }
+    const traffic_organisation* organisation = nullptr;
+    if (request.api_key) {
+        organisation = configuration_->find_organisation(*request.api_key);
+    }
+    const bool needs_key = configuration_->has_organisations() && !route->is_anonymous;
+    if (needs_key && organisation == nullptr) {
+        refuse_arrival(number, request, 401, request.api_key ? "unknown key" : "no key");
+        return false;
+    }
+    it.route = *route;
+    it.priority = route->priority;
+    if (organisation != nullptr && needs_key) {
+        it.organisation = organisation->id;
+        it.priority = organisation->priority.value_or(route->priority);
+    }
+    it.pool = route->pool_for(stable_hash(request.id.str()));
+    const auto* pool = configuration_->find_pool(it.pool);
+    it.max_connections = pool == nullptr ? 0 : pool->max_connections;
+    it.arrived_at = now_;
+    it.expires_at = now_ + std::min(request.patience.value_or(route->timeout), route->timeout);
+    it.last_event = request.last_event_id;
+    budget_of(it.pool).request(now_);
+    return true;
+}
+
+} // namespace endivelatch
--- /dev/null
+++ b/src/traffic/traffic_router.cpp
@@ -0,0 +1,226 @@
+#include "endivelatch/traffic/traffic_router.hpp"
+
+#include "endivelatch/base/overloaded.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace endivelatch {
+
+std::string_view to_string(attempt_stage stage)
+{
+    switch (stage) {
+    case attempt_stage::not_sent:
+        return "not_sent";
+    case attempt_stage::sent:
+        return "sent";
+    case attempt_stage::answering:
+        return "answering";
+    }
+    return "unknown";
+}
+
+traffic_router::traffic_router(const traffic_settings& settings) : settings_{settings} {}
+
+traffic_effects traffic_router::handle(traffic_event&& event, time_point now)
+{
+    now_ = now;
+    std::visit([this](auto& e) { on(e); }, event);
+    return std::exchange(effects_, {});
+}
+
+std::optional<time_point> traffic_router::next_timer() const
+{
+    if (timers_.empty()) {
+        return std::nullopt;
+    }
+    return timers_.begin()->first;
+}
+
+void traffic_router::on(request_arrived& e)
+{
+    metrics_.add("requests");
+    exchange it;
+    if (!admit(e.exchange, e.request, it)) {
+        return;
+    }
+    it.request = std::make_shared<const caller_request>(std::move(e.request));
+    auto& kept = exchanges_.emplace(e.exchange, std::move(it)).first->second;
+    set_timer(e.exchange, kept, kept.expires_at);
+    try_next(e.exchange, kept);
+}
+
+void traffic_router::on(caller_left& e)
+{
+    const auto it = exchanges_.find(e.exchange);
+    if (it == exchanges_.end()) {
+        return;
+    }
+    finish(e.exchange, it->second, 0, "caller_left", "the caller closed its connection");
+}
+
+void traffic_router::on(attempt_broken& e)
+{
+    const auto it = find(e.key);
+    if (it == exchanges_.end()) {
+        return;
+    }
+    const bool was_not_sent = e.stage == attempt_stage::not_sent;
+    log(log_event{"attempt_broken"}
+            .add("request", it->second.request->id)
+            .add("attempt", e.key.number.value())
+            .add("target", it->second.running->target)
+            .add("stage", to_string(e.stage))
+            .add("reason", e.reason));
+    metrics_.add("attempts_broken", 1, std::string{"stage=\""} + std::string{to_string(e.stage)} + '"');
+    if (was_not_sent) {
+        --it->second.sends;
+        --it->second.may_have_run;
+    }
+    attempt_over(it->second, attempt_outcome::failed);
+    after_failure(e.key.exchange, it->second, was_not_sent, e.reason);
+}
+
+void traffic_router::on(answer_begun& e)
+{
+    const auto it = find(e.key);
+    if (it == exchanges_.end()) {
+        return;
+    }
+    auto& x = it->second;
+    if (auto* target = target_of(x); target != nullptr && e.answer.load) {
+        target->report(*e.answer.load, now_);
+    }
+    if (!e.answer.answers.empty() && e.answer.answers != x.request->id) {
+        metrics_.add("answers_of_other_requests");
+        log(log_event{"answer_skipped"}
+                .add("request", x.request->id)
+                .add("target", x.running->target)
+                .add("answers", e.answer.answers));
+        effects_.emplace_back(skip_answer{e.key});
+        return;
+    }
+    x.running->is_answering = true;
+    if (e.answer.states_not_run) {
+        take_refusal(e.key.exchange, x, e.answer);
+        return;
+    }
+    if (!e.answer.is_success() || !e.answer.is_signed) {
+        take_failure(e.key.exchange, x, std::move(e.answer));
+        return;
+    }
+    if (!x.has_begun) {
+        x.answer = std::move(e.answer);
+    }
+}
+
+void traffic_router::on(answer_bytes& e)
+{
+    const auto it = find(e.key);
+    if (it == exchanges_.end() || !it->second.running->is_answering) {
+        return;
+    }
+    auto& running = *it->second.running;
+    if (!running.has_read_prompt) {
+        running.has_read_prompt = true;
+        if (auto* target = target_of(it->second); target != nullptr) {
+            target->prompt_read(running.unread_tokens);
+        }
+    }
+    take_bytes(e.key.exchange, it->second, std::move(e.bytes));
+}
+
+void traffic_router::on(answer_finished& e)
+{
+    const auto it = find(e.key);
+    if (it == exchanges_.end() || !it->second.running->is_answering) {
+        return;
+    }
+    if (it->second.events.has_partial()) {
+        attempt_over(it->second, attempt_outcome::failed);
+        after_failure(e.key.exchange, it->second, false, "the stream ended within an event");
+        return;
+    }
+    attempt_over(it->second, attempt_outcome::answered);
+    complete(e.key.exchange, it->second);
+}
+
+void traffic_router::on(configuration_changed& e)
+{
+    configuration_ = std::move(e.configuration);
+    log(log_event{"configuration_in_force"}
+            .add("version", configuration_->version().value())
+            .add("routes", configuration_->route_count()));
+    metrics_.set("configuration_version",
+                 static_cast<std::int64_t>(configuration_->version().value()));
+}
+
+void traffic_router::on(targets_changed& e)
+{
+    targets_.replace(e.targets);
+    targets_revision_ = e.revision;
+    const auto leaving = std::count_if(e.targets.begin(), e.targets.end(),
+                                       [](const auto& it) { return it.is_leaving; });
+    log(log_event{"targets_in_force"}
+            .add("targets", e.targets.size())
+            .add("leaving", leaving)
+            .add("revision", e.revision));
+    metrics_.set("targets", static_cast<std::int64_t>(e.targets.size()));
+}
+
+void traffic_router::on(fleet_changed& e)
+{
+    routers_ = std::max(e.routers, 1U);
+    for (auto& [pool, budget] : budgets_) {
+        set_budget(budget);
+    }
+    metrics_.set("live_routers", routers_);
+}
+
+void traffic_router::on(timer_due&)
+{
+    while (!timers_.empty() && timers_.begin()->first <= now_) {
+        const auto number = timers_.begin()->second;
+        timers_.erase(timers_.begin());
+        auto& it = exchanges_.at(number);
+        if (now_ >= it.expires_at) {
+            // Nothing runs when every send was stated as not run.
+            const bool may_run = it.may_have_run > 0 || it.running;
+            give_up(number, it, may_run ? 504 : 503, "the time for the answer is over");
+            continue;
+        }
+        set_timer(number, it, it.expires_at);
+        if (it.running && !it.running->is_answering && may_repeat(it, false) && take_retry(it)) {
+            log(log_event{"attempt_hung"}
+                    .add("request", it.request->id)
+                    .add("target", it.running->target));
+            effects_.emplace_back(cancel_attempt{{number, it.running->number}});
+            attempt_over(it, attempt_outcome::failed);
+            try_next(number, it);
+        }
+    }
+}
+
+void traffic_router::set_timer(exchange_number number, exchange& it, time_point at)
+{
+    timers_.erase({it.timer_at, number});
+    it.timer_at = at;
+    timers_.emplace(at, number);
+}
+
+traffic_router::exchange_map::iterator traffic_router::find(const exchange_attempt& key)
+{
+    const auto it = exchanges_.find(key.exchange);
+    const bool is_current = it != exchanges_.end() && it->second.running &&
+                            it->second.running->number == key.number;
+    return is_current ? it : exchanges_.end();
+}
+
+target_state* traffic_router::target_of(const exchange& it)
+{
+    auto* target = it.running ? targets_.find(it.running->target) : nullptr;
+    const bool is_same = target != nullptr && target->facts().started == it.running->target_start;
+    return is_same ? target : nullptr;
+}
+
+} // namespace endivelatch
