Refuse requests that would outlive a stop; tests of the new libraries

Ruled out: an early exit (the process ran to the end of its grace). Change: 2.5 s after the signal a router refuses what may not end in time; callers are told to return at once.

--- a/include/endivelatch/entry/entry_process_life.ipp
+++ b/include/endivelatch/entry/entry_process_life.ipp
@@ -350,6 +350,7 @@
     }
     stop_began_ = loop_->now();
     write(log_event{"stopping"}.add("active", router_.active()));
+    deliver(stop_announced{stop_began_ + settings_.bounds.stop_grace - stop_reserve});
     publish_ready();
     fleet_.leave();
     requests_.close_connections();
--- a/include/endivelatch/entry/entry_settings.hpp
+++ b/include/endivelatch/entry/entry_settings.hpp
@@ -16,7 +16,7 @@
     double retry_burst = 10;           ///< Retries of the fleet without any request.
     double load_bound = 2;             ///< Highest load of a target over the mean of its pool.
     duration stop_grace{8'000'000};    ///< From the stop signal until the process is killed.
-    duration entry_lifetime{2'000'000}; ///< How long callers may keep a list of entry addresses.
+    duration entry_lifetime{1'000'000}; ///< How long callers may keep a list of entry addresses.
 
     friend bool operator==(const entry_bounds&, const entry_bounds&) = default;
 };
--- a/include/endivelatch/traffic/traffic_event.hpp
+++ b/include/endivelatch/traffic/traffic_event.hpp
@@ -83,13 +83,19 @@
     std::uint32_t routers = 1; ///< This router included.
 };
 
+/// The process has been told to stop.
+struct stop_announced {
+    time_point exits_at{}; ///< Latest time at which the process ends.
+};
+
 /// The time of `next_timer` has come.
 struct timer_due {
 };
 
 using traffic_event =
     std::variant<request_arrived, caller_left, attempt_broken, answer_begun, answer_bytes,
-                 answer_finished, configuration_changed, targets_changed, fleet_changed, timer_due>;
+                 answer_finished, configuration_changed, targets_changed, fleet_changed,
+                 stop_announced, timer_due>;
 
 /// Send the request to a target.
 struct start_attempt {
--- a/include/endivelatch/traffic/traffic_router.hpp
+++ b/include/endivelatch/traffic/traffic_router.hpp
@@ -65,6 +65,11 @@
     /// Time after which to return when no target takes the request; targets that refuse are
     /// counted as full for less.
     static constexpr duration full_retry_after{300'000};
+    /// A stopping router takes every request for this long; callers learn within it that the
+    /// router has left the entry list.
+    static constexpr duration stop_accepts_all{2'500'000};
+    /// Time after which to return when the router stops: another router serves at once.
+    static constexpr duration stop_retry_after{20'000};
 
 private:
     /// An attempt in progress.
@@ -115,12 +120,15 @@
     void on(configuration_changed& e);
     void on(targets_changed& e);
     void on(fleet_changed& e);
+    void on(stop_announced& e);
     void on(timer_due& e);
 
     // Arrivals, in traffic_arrivals.cpp.
+    bool outlives_stop(const exchange& it) const;
     bool admit(exchange_number number, const caller_request& request, exchange& it);
     void refuse_arrival(exchange_number number, const caller_request& request, int status,
-                        std::string_view reason);
+                        std::string_view reason,
+                        std::optional<duration> retry_after = std::nullopt);
 
     // Attempts, in traffic_attempts.cpp.
     void try_next(exchange_number number, exchange& it);
@@ -159,6 +167,8 @@
     std::set<std::pair<time_point, exchange_number>> timers_;
     std::map<pool_id, retry_budget> budgets_;
     counters metrics_;
+    std::optional<stop_announced> stop_;
+    time_point stop_began_{};
     time_point now_{};
     traffic_effects effects_;
 };
--- a/src/traffic/traffic_arrivals.cpp
+++ b/src/traffic/traffic_arrivals.cpp
@@ -7,12 +7,9 @@
 namespace endivelatch {
 
 void traffic_router::refuse_arrival(exchange_number number, const caller_request& request,
-                                    int status, std::string_view reason)
+                                    int status, std::string_view reason,
+                                    std::optional<duration> retry_after)
 {
-    std::optional<duration> retry_after;
-    if (status == 503) {
-        retry_after = unknown_retry_after;
-    }
     log(log_event{"request_refused"}
             .add("request", request.id)
             .add("status", status)
@@ -24,10 +21,16 @@
     effects_.emplace_back(refuse_request{number, status, retry_after, std::string{reason}});
 }
 
+bool traffic_router::outlives_stop(const exchange& it) const
+{
+    return stop_ && now_ - stop_began_ > stop_accepts_all && it.expires_at > stop_->exits_at;
+}
+
 bool traffic_router::admit(exchange_number number, const caller_request& request, exchange& it)
 {
     if (!is_ready()) {
-        refuse_arrival(number, request, 503, "configuration or targets not known yet");
+        refuse_arrival(number, request, 503, "configuration or targets not known yet",
+                       unknown_retry_after);
         return false;
     }
     const auto* route = configuration_->find_route(request.host, request.path());
@@ -56,6 +59,10 @@
     it.arrived_at = now_;
     it.expires_at = now_ + std::min(request.patience.value_or(route->timeout), route->timeout);
     it.last_event = request.last_event_id;
+    if (outlives_stop(it)) {
+        refuse_arrival(number, request, 503, "the router stops", stop_retry_after);
+        return false;
+    }
     budget_of(it.pool).request(now_);
     return true;
 }
--- a/src/traffic/traffic_router.cpp
+++ b/src/traffic/traffic_router.cpp
@@ -177,6 +177,12 @@
     metrics_.set("live_routers", routers_);
 }
 
+void traffic_router::on(stop_announced& e)
+{
+    stop_ = e;
+    stop_began_ = now_;
+}
+
 void traffic_router::on(timer_due&)
 {
     while (!timers_.empty() && timers_.begin()->first <= now_) {
--- /dev/null
+++ b/tests/http1/answer_reader_test.cpp
@@ -0,0 +1,100 @@
+#include "endivelatch/http1/answer_reader.hpp"
+#include "endivelatch/http1/message_writer.hpp"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <gtest/gtest.h>
+
+namespace endivelatch {
+namespace {
+
+/// Keeps what a reader reports.
+struct recorder {
+    std::optional<answer_head> head;
+    std::string body;
+    int completed = 0;
+    answer_reader reader{{[this](answer_head&& h) { head = std::move(h); },
+                          [this](std::string_view bytes) { body += bytes; },
+                          [this] { ++completed; }}};
+};
+
+TEST(answer_reader, reads_length_and_leaves_what_follows)
+{
+    recorder it;
+    const std::string_view bytes = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nabHTTP/1.1 500 X\r\n";
+    EXPECT_EQ(it.reader.feed(bytes), bytes.find("HTTP/1.1 500"));
+    EXPECT_EQ(it.completed, 1);
+    EXPECT_EQ(it.body, "ab");
+    EXPECT_EQ(it.head->length, 2U);
+    EXPECT_TRUE(it.head->keeps_alive);
+}
+
+TEST(answer_reader, drops_interim_answers)
+{
+    recorder it;
+    it.reader.feed("HTTP/1.1 100 Continue\r\nA: b\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n");
+    EXPECT_EQ(it.completed, 1);
+    EXPECT_EQ(it.head->status, 204);
+    EXPECT_TRUE(it.head->headers.empty());
+    EXPECT_FALSE(it.head->ends_with_connection);
+}
+
+TEST(answer_reader, an_answer_without_length_ends_with_the_connection)
+{
+    recorder it;
+    it.reader.feed("HTTP/1.1 200 OK\r\n\r\nabc");
+    EXPECT_TRUE(it.head->ends_with_connection);
+    EXPECT_EQ(it.completed, 0);
+    it.reader.end_of_input();
+    EXPECT_EQ(it.completed, 1);
+    EXPECT_EQ(it.body, "abc");
+}
+
+TEST(answer_reader, a_cut_answer_is_not_complete)
+{
+    for (const std::string_view bytes : {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc",
+                                         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                         "3\r\nabc\r\n"}) {
+        recorder it;
+        it.reader.feed(bytes);
+        it.reader.end_of_input();
+        EXPECT_EQ(it.completed, 0) << bytes;
+    }
+}
+
+TEST(answer_reader, reports_bytes_that_are_no_answer)
+{
+    recorder it;
+    it.reader.feed("\x01\x02garbage\r\n\r\n");
+    EXPECT_TRUE(it.reader.has_failed());
+    EXPECT_FALSE(it.head);
+}
+
+TEST(answer_reader, an_answer_to_head_has_no_body)
+{
+    recorder it;
+    it.reader.next(true);
+    it.reader.feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n");
+    EXPECT_EQ(it.completed, 1);
+}
+
+TEST(message_writer, removes_what_concerns_one_connection)
+{
+    http_headers headers{{"Connection", "close, X-Hop"}, {"x-hop", "1"}, {"Keep-Alive", "5"},
+                         {"TE", "trailers"},             {"A", "b"},     {"Content-Length", "3"}};
+    remove_hop_by_hop(headers);
+    EXPECT_EQ(headers, (http_headers{{"A", "b"}}));
+}
+
+TEST(message_writer, writes_chunks_in_hexadecimal)
+{
+    std::string out;
+    append_chunk(out, std::string(26, 'x'));
+    append_chunk(out, "");
+    EXPECT_EQ(out, "1a\r\n" + std::string(26, 'x') + "\r\n");
+}
+
+} // namespace
+} // namespace endivelatch
--- /dev/null
+++ b/tests/mirror/object_mirror_test.cpp
@@ -0,0 +1,133 @@
+#include "endivelatch/mirror/object_mirror.hpp"
+
+#include <gtest/gtest.h>
+
+namespace endivelatch {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+mirrored_object object(const std::string& name, std::uint64_t revision)
+{
+    return {name, store_revision{revision}, "content " + std::to_string(revision)};
+}
+
+object_page page(std::vector<mirrored_object> objects, std::uint64_t revision, bool has_more = false)
+{
+    return {std::move(objects), has_more, store_revision{revision}};
+}
+
+object_changes change(const mirrored_object& it, bool is_deleted)
+{
+    return {{{it, is_deleted}}, it.revision};
+}
+
+template <class Effect>
+const Effect* find_effect(const mirror_effects& all)
+{
+    for (const auto& it : all) {
+        if (const auto* found = std::get_if<Effect>(&it)) {
+            return found;
+        }
+    }
+    return nullptr;
+}
+
+/// A mirror of registrations with a clock.
+struct mirror_fixture : testing::Test {
+    mirror_fixture() { mirror.start(clock.now()); }
+
+    manual_clock clock;
+    object_mirror mirror{mirror_settings{.absence_grace = seconds{2}}, 1};
+};
+
+TEST_F(mirror_fixture, reads_all_pages_and_watches_from_the_first)
+{
+    auto effects = mirror.take(page({object("a", 1)}, 5, true), clock.now());
+    ASSERT_NE(find_effect<list_objects>(effects), nullptr);
+    EXPECT_EQ(find_effect<list_objects>(effects)->after, "a");
+    EXPECT_FALSE(mirror.is_known());
+    effects = mirror.take(page({object("b", 2)}, 9), clock.now());
+    ASSERT_NE(find_effect<watch_objects>(effects), nullptr);
+    // Changes between the two pages are reported by the watch.
+    EXPECT_EQ(find_effect<watch_objects>(effects)->after, store_revision{5});
+    EXPECT_NE(find_effect<mirror_updated>(effects), nullptr);
+    EXPECT_EQ(mirror.objects().size(), 2U);
+}
+
+TEST_F(mirror_fixture, follows_changes_and_ignores_older_ones)
+{
+    mirror.take(page({object("a", 4)}, 5), clock.now());
+    mirror.take(change(object("a", 3), false), clock.now());
+    EXPECT_EQ(mirror.objects().at("a").revision, store_revision{4});
+    mirror.take(change(object("a", 3), true), clock.now());
+    EXPECT_EQ(mirror.objects().count("a"), 1U);
+    const auto effects = mirror.take(change(object("a", 6), true), clock.now());
+    EXPECT_EQ(mirror.objects().count("a"), 0U);
+    EXPECT_NE(find_effect<mirror_updated>(effects), nullptr);
+}
+
+TEST_F(mirror_fixture, lists_again_when_history_is_gone_and_drops_what_is_missing)
+{
+    mirror.take(page({object("a", 1), object("b", 2)}, 5), clock.now());
+    const auto effects = mirror.history_gone(clock.now());
+    ASSERT_NE(find_effect<list_objects>(effects), nullptr);
+    mirror.take(page({object("b", 2)}, 9), clock.now());
+    EXPECT_EQ(mirror.objects().size(), 1U);
+}
+
+TEST_F(mirror_fixture, retries_with_growing_pauses)
+{
+    mirror.take(page({}, 5), clock.now());
+    duration last{};
+    for (int i = 0; i < 6; ++i) {
+        mirror.call_failed(clock.now());
+        const auto wait = *mirror.next_timer() - clock.now();
+        EXPECT_GT(wait, duration{});
+        EXPECT_LE(wait, milliseconds{1'250});
+        last = wait;
+        clock.advance(wait);
+        EXPECT_NE(find_effect<watch_objects>(mirror.tick(clock.now())), nullptr);
+    }
+    EXPECT_GE(last, milliseconds{750});
+}
+
+TEST_F(mirror_fixture, keeps_expired_objects_for_a_while_after_an_outage)
+{
+    mirror.take(page({object("a", 1), object("b", 2)}, 5), clock.now());
+    mirror.call_failed(clock.now());
+    clock.advance(seconds{4});
+    mirror.tick(clock.now());
+    mirror.take(change(object("a", 6), true), clock.now());
+    EXPECT_EQ(mirror.objects().count("a"), 1U);
+    clock.advance(seconds{1});
+    mirror.take(change(object("a", 7), false), clock.now());
+    mirror.take(change(object("b", 8), true), clock.now());
+    clock.advance(seconds{2});
+    const auto effects = mirror.tick(clock.now());
+    EXPECT_NE(find_effect<mirror_updated>(effects), nullptr);
+    EXPECT_EQ(mirror.objects().count("a"), 1U); // It came back.
+    EXPECT_EQ(mirror.objects().count("b"), 0U);
+}
+
+TEST_F(mirror_fixture, takes_only_newer_copies_of_peers)
+{
+    mirror.take(page({object("a", 4)}, 5), clock.now());
+    EXPECT_TRUE(mirror.take_copy(page({}, 5), clock.now()).empty());
+    EXPECT_EQ(mirror.objects().size(), 1U);
+    EXPECT_FALSE(mirror.take_copy(page({object("a", 7)}, 8), clock.now()).empty());
+    EXPECT_EQ(mirror.objects().at("a").revision, store_revision{7});
+    EXPECT_EQ(mirror.revision(), store_revision{8});
+}
+
+TEST_F(mirror_fixture, an_older_list_does_not_replace_a_newer_copy)
+{
+    mirror.take_copy(page({object("a", 7)}, 8), clock.now());
+    mirror.take(page({object("a", 4)}, 5), clock.now());
+    EXPECT_EQ(mirror.objects().at("a").revision, store_revision{7});
+    EXPECT_EQ(mirror.revision(), store_revision{8});
+}
+
+} // namespace
+} // namespace endivelatch
--- /dev/null
+++ b/tests/traffic/router_fixture.hpp
@@ -0,0 +1,142 @@
+#pragma once
+
+#include "endivelatch/traffic/traffic_router.hpp"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+namespace endivelatch {
+
+inline constexpr duration test_timeout = std::chrono::seconds{2};
+inline constexpr duration test_objective = std::chrono::milliseconds{100};
+
+/// Returns a route of its own host for each kind of request.
+inline traffic_route make_route(const std::string& host, request_kind kind,
+                                std::uint32_t max_attempts, bool is_resumable = false)
+{
+    traffic_route route;
+    route.name = host;
+    route.host = host;
+    route.path_prefix = "/p/";
+    route.kind = kind;
+    route.pools = {{pool_id{"pool"}, 1}};
+    route.timeout = test_timeout;
+    route.latency_objective = test_objective;
+    route.max_attempts = max_attempts;
+    route.is_resumable = is_resumable;
+    return route;
+}
+
+/// Returns a configuration with the routes `safe`, `unsafe`, `stream` and `resumable`.
+inline std::shared_ptr<const traffic_configuration> make_configuration(std::uint64_t version = 1)
+{
+    std::vector<traffic_route> routes{make_route("safe", request_kind::safe, 2),
+                                      make_route("unsafe", request_kind::unsafe, 1),
+                                      make_route("stream", request_kind::streaming, 1),
+                                      make_route("resumable", request_kind::streaming, 2, true)};
+    traffic_pool pool;
+    pool.id = pool_id{"pool"};
+    return std::make_shared<const traffic_configuration>(
+        traffic_version{version}, std::move(routes), std::vector<traffic_pool>{pool},
+        std::vector<traffic_organisation>{{organisation_id{"org"}, {"key"}, 3}}, caller_limits{});
+}
+
+/// Returns a target at an address of its own.
+inline registered_target make_target(int n)
+{
+    registered_target target;
+    target.id = target_id{"t" + std::to_string(n)};
+    target.pool = pool_id{"pool"};
+    target.address = {"10.0.0." + std::to_string(n), 80};
+    target.slots = 6;
+    return target;
+}
+
+/// A traffic router with a clock, that remembers its effects.
+class router_fixture : public testing::Test {
+protected:
+    explicit router_fixture(int targets = 4)
+    {
+        give(configuration_changed{make_configuration()});
+        targets_changed known;
+        for (int n = 1; n <= targets; ++n) {
+            known.targets.push_back(make_target(n));
+        }
+        give(std::move(known));
+    }
+
+    /// Hands an event to the router and keeps its effects.
+    void give(traffic_event&& event) { effects = router.handle(std::move(event), clock.now()); }
+
+    /// Advances the clock and lets the timers of the router run.
+    void advance(duration by)
+    {
+        clock.advance(by);
+        give(timer_due{});
+    }
+
+    /// Lets a request arrive; returns its number.
+    exchange_number arrive(const std::string& host, std::optional<duration> patience = {})
+    {
+        caller_request request;
+        const exchange_number number{++last};
+        request.id = caller_attempt_id{"r" + std::to_string(last)};
+        request.method = "POST";
+        request.target = "/p/x?y";
+        request.host = host;
+        request.api_key = "key";
+        request.patience = patience;
+        give(request_arrived{number, std::move(request)});
+        return number;
+    }
+
+    /// Returns the last effect of the type among those of the last event, or null.
+    template <class Effect>
+    const Effect* find() const
+    {
+        const Effect* found = nullptr;
+        for (const auto& it : effects) {
+            const auto* match = std::get_if<Effect>(&it);
+            found = match == nullptr ? found : match;
+        }
+        return found;
+    }
+
+    /// Returns an answer of success to the last request sent.
+    target_answer success() const
+    {
+        target_answer answer;
+        answer.status = 200;
+        answer.is_signed = true;
+        answer.answers = caller_attempt_id{"r" + std::to_string(last)};
+        answer.headers = {{"X-First", "1"}};
+        return answer;
+    }
+
+    /// Returns the statement of a target that it did not run the request.
+    static target_answer not_run()
+    {
+        target_answer answer;
+        answer.status = 503;
+        answer.states_not_run = true;
+        return answer;
+    }
+
+    /// Returns the attempt that was started by the last event.
+    exchange_attempt started() const
+    {
+        const auto* it = find<start_attempt>();
+        return it == nullptr ? exchange_attempt{} : it->key;
+    }
+
+    manual_clock clock;
+    traffic_router router{traffic_settings{}};
+    traffic_effects effects;
+    std::uint64_t last = 0;
+};
+
+} // namespace endivelatch
--- /dev/null
+++ b/tests/traffic/target_choice_test.cpp
@@ -0,0 +1,158 @@
+#include "router_fixture.hpp"
+
+#include "endivelatch/base/hash.hpp"
+
+#include <map>
+
+namespace endivelatch {
+namespace {
+
+using std::chrono::seconds;
+
+/// A pool of targets and the choice among them.
+struct choice_fixture : testing::Test {
+    choice_fixture()
+    {
+        std::vector<registered_target> all;
+        for (int n = 1; n <= 8; ++n) {
+            all.push_back(make_target(n));
+            all.back().domain = domain_id{n % 2 == 0 ? "even" : "odd"};
+        }
+        table.replace(all);
+        prompt.tokens = 9'000;
+        prompt.parts = {{1, 2'500}, {2, 6'000}, {3, 500}};
+        query.pool = pool_id{"pool"};
+        query.domain = domain_id{"odd"};
+    }
+
+    chosen_target choose() const
+    {
+        return std::get<chosen_target>(choose_target(query, table, clock.now()));
+    }
+
+    target_state& target(int n) { return *table.find(target_id{"t" + std::to_string(n)}); }
+
+    manual_clock clock;
+    target_table table;
+    prompt_facts prompt;
+    choice_query query;
+};
+
+TEST_F(choice_fixture, prompts_with_the_same_shared_part_go_to_one_home)
+{
+    query.prompt = &prompt;
+    const auto home = choose().target->facts().id;
+    for (std::uint64_t i = 0; i < 20; ++i) {
+        prompt.parts.back().id = 100 + i;
+        query.request_hash = i;
+        EXPECT_EQ(choose().target->facts().id, home);
+        EXPECT_TRUE(choose().is_home);
+        EXPECT_EQ(choose().unread_tokens, 500U);
+    }
+}
+
+TEST_F(choice_fixture, a_busy_home_spills_when_waiting_costs_more_than_reading_again)
+{
+    query.prompt = &prompt;
+    auto* home = choose().target;
+    home->sent(2'000);
+    EXPECT_EQ(choose().target, home);
+    home->sent(8'000);
+    EXPECT_NE(choose().target, home);
+    home->prompt_read(10'000);
+    home->ended();
+    home->ended();
+    EXPECT_EQ(choose().target, home);
+}
+
+TEST_F(choice_fixture, a_target_that_has_read_the_prompt_takes_the_next_spill)
+{
+    query.prompt = &prompt;
+    choose().target->sent(30'000);
+    auto* spill = choose().target;
+    spill->remember(prompt.parts, clock.now());
+    EXPECT_EQ(choose().target, spill);
+    EXPECT_EQ(choose().unread_tokens, 0U);
+    clock.advance(target_state::part_lifetime + seconds{1});
+    EXPECT_EQ(choose().unread_tokens, 9'000U);
+}
+
+TEST_F(choice_fixture, no_target_goes_far_above_the_mean)
+{
+    query.prompt = &prompt;
+    std::map<target_id, std::uint32_t> counts;
+    for (int i = 0; i < 160; ++i) {
+        auto* chosen = choose().target;
+        chosen->sent(0);
+        ++counts[chosen->facts().id];
+    }
+    for (const auto& [id, n] : counts) {
+        EXPECT_LE(n, 2 * 160 / 8 + 3) << id.str();
+    }
+}
+
+TEST_F(choice_fixture, plain_requests_prefer_free_slots_and_the_own_domain)
+{
+    std::map<target_id, int> counts;
+    for (std::uint64_t i = 0; i < 16; ++i) {
+        query.request_hash = mix_bits(i);
+        auto* chosen = choose().target;
+        chosen->sent(0);
+        ++counts[chosen->facts().id];
+    }
+    for (const auto& [id, n] : counts) {
+        EXPECT_LE(n, 4) << id.str();
+    }
+    EXPECT_GE(counts.size(), 4U);
+}
+
+TEST_F(choice_fixture, a_target_that_keeps_failing_is_left_out_and_tried_again)
+{
+    for (std::uint32_t i = 0; i < target_state::ejecting_failures; ++i) {
+        target(1).note(attempt_outcome::failed, clock.now());
+    }
+    EXPECT_TRUE(target(1).is_ejected(clock.now()));
+    for (std::uint64_t i = 0; i < 50; ++i) {
+        query.request_hash = mix_bits(i);
+        EXPECT_NE(choose().target, &target(1));
+    }
+    clock.advance(target_state::shortest_ejection);
+    EXPECT_FALSE(target(1).is_ejected(clock.now()));
+}
+
+TEST_F(choice_fixture, a_new_start_of_a_target_forgets_what_was_learned)
+{
+    target(1).sent(100);
+    target(1).remember(prompt.parts, clock.now());
+    auto again = target(1).facts();
+    again.started = incarnation{5};
+    std::vector<registered_target> all{again};
+    table.replace(all);
+    EXPECT_EQ(target(1).own_in_flight(), 0U);
+    EXPECT_EQ(target(1).cached_tokens(prompt.parts, clock.now()), 0U);
+    EXPECT_EQ(table.size(), 1U);
+}
+
+TEST_F(choice_fixture, says_why_there_is_no_target)
+{
+    query.pool = pool_id{"other"};
+    EXPECT_EQ(std::get<no_target_reason>(choose_target(query, table, clock.now())),
+              no_target_reason::none_registered);
+    query.pool = pool_id{"pool"};
+    std::set<target_id> tried;
+    for (int n = 1; n <= 8; ++n) {
+        tried.insert(target(n).facts().id);
+    }
+    query.tried = &tried;
+    EXPECT_EQ(std::get<no_target_reason>(choose_target(query, table, clock.now())),
+              no_target_reason::all_tried);
+    query.tried = nullptr;
+    for (int n = 1; n <= 8; ++n) {
+        target(n).note(attempt_outcome::refused, clock.now());
+    }
+    EXPECT_EQ(std::get<no_target_reason>(choose_target(query, table, clock.now())),
+              no_target_reason::all_full);
+}
+
+} // namespace
+} // namespace endivelatch
--- /dev/null
+++ b/tests/traffic/traffic_router_test.cpp
@@ -0,0 +1,285 @@
+#include "router_fixture.hpp"
+
+namespace endivelatch {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST(traffic_router, refuses_with_503_until_configuration_and_targets_are_known)
+{
+    manual_clock clock;
+    traffic_router router{traffic_settings{}};
+    caller_request request;
+    request.host = "safe";
+    request.target = "/p/x";
+    auto effects = router.handle(request_arrived{exchange_number{1}, request}, clock.now());
+    const auto* refusal = std::get_if<refuse_request>(&effects.back());
+    ASSERT_NE(refusal, nullptr);
+    EXPECT_EQ(refusal->status, 503);
+    EXPECT_TRUE(refusal->retry_after);
+    EXPECT_EQ(router.active(), 0U);
+}
+
+TEST_F(router_fixture, refuses_unknown_routes_and_keys)
+{
+    arrive("elsewhere");
+    EXPECT_EQ(find<refuse_request>()->status, 404);
+    caller_request request;
+    request.host = "safe";
+    request.target = "/p/x";
+    give(request_arrived{exchange_number{90}, request});
+    EXPECT_EQ(find<refuse_request>()->status, 401);
+    request.api_key = "withdrawn";
+    give(request_arrived{exchange_number{91}, request});
+    EXPECT_EQ(find<refuse_request>()->status, 401);
+}
+
+TEST_F(router_fixture, sends_with_the_terms_of_route_and_organisation)
+{
+    arrive("unsafe", milliseconds{700});
+    const auto* sent = find<start_attempt>();
+    ASSERT_NE(sent, nullptr);
+    EXPECT_EQ(sent->terms.organisation.str(), "org");
+    EXPECT_EQ(sent->terms.time_left, milliseconds{700});
+    EXPECT_FALSE(sent->is_idempotent);
+    EXPECT_EQ(sent->request->target, "/p/x?y");
+    arrive("unsafe", seconds{60});
+    EXPECT_EQ(find<start_attempt>()->terms.time_left, test_timeout);
+}
+
+TEST_F(router_fixture, a_plain_answer_is_passed_on_whole)
+{
+    const auto number = arrive("unsafe");
+    const auto key = started();
+    give(answer_begun{key, success()});
+    EXPECT_EQ(find<begin_answer>(), nullptr);
+    give(answer_bytes{key, "body"});
+    EXPECT_EQ(find<begin_answer>(), nullptr);
+    give(answer_finished{key});
+    ASSERT_NE(find<begin_answer>(), nullptr);
+    EXPECT_EQ(find<begin_answer>()->length, 4U);
+    EXPECT_EQ(find<begin_answer>()->headers, success().headers);
+    EXPECT_EQ(find<send_bytes>()->bytes, "body");
+    EXPECT_EQ(find<end_answer>()->exchange, number);
+    EXPECT_EQ(router.active(), 0U);
+    EXPECT_FALSE(router.next_timer());
+}
+
+TEST_F(router_fixture, an_unsafe_request_is_sent_again_only_when_it_was_not_run)
+{
+    arrive("unsafe");
+    const auto first = *find<start_attempt>();
+    give(attempt_broken{first.key, attempt_stage::not_sent, "refused"});
+    ASSERT_NE(find<start_attempt>(), nullptr);
+    const auto second = *find<start_attempt>();
+    EXPECT_NE(second.terms.expected_target, first.terms.expected_target);
+    give(answer_begun{second.key, not_run()});
+    ASSERT_NE(find<start_attempt>(), nullptr);
+    const auto third = started();
+    give(attempt_broken{third, attempt_stage::sent, "reset"});
+    EXPECT_EQ(find<start_attempt>(), nullptr);
+    ASSERT_NE(find<refuse_request>(), nullptr);
+    EXPECT_EQ(find<refuse_request>()->status, 502);
+    EXPECT_FALSE(find<refuse_request>()->retry_after);
+}
+
+TEST_F(router_fixture, an_unsafe_answer_that_breaks_off_is_never_made_whole)
+{
+    arrive("unsafe");
+    const auto key = started();
+    give(answer_begun{key, success()});
+    give(answer_bytes{key, "bo"});
+    give(attempt_broken{key, attempt_stage::answering, "reset"});
+    EXPECT_EQ(find<start_attempt>(), nullptr);
+    EXPECT_EQ(find<refuse_request>()->status, 502);
+}
+
+TEST_F(router_fixture, a_safe_request_goes_to_another_target_within_its_attempts)
+{
+    arrive("safe");
+    const auto first = *find<start_attempt>();
+    give(attempt_broken{first.key, attempt_stage::sent, "reset"});
+    ASSERT_NE(find<start_attempt>(), nullptr);
+    const auto second = *find<start_attempt>();
+    EXPECT_NE(second.terms.expected_target, first.terms.expected_target);
+    give(attempt_broken{second.key, attempt_stage::sent, "reset"});
+    EXPECT_EQ(find<start_attempt>(), nullptr);
+    EXPECT_EQ(find<refuse_request>()->status, 502);
+}
+
+TEST_F(router_fixture, a_safe_request_leaves_a_silent_target)
+{
+    arrive("safe");
+    const auto first = started();
+    advance(test_objective * traffic_router::hung_after_objectives);
+    ASSERT_NE(find<cancel_attempt>(), nullptr);
+    EXPECT_EQ(find<cancel_attempt>()->key, first);
+    EXPECT_NE(find<start_attempt>(), nullptr);
+}
+
+TEST_F(router_fixture, an_unsafe_request_waits_for_a_silent_target_until_its_timeout)
+{
+    arrive("unsafe");
+    advance(test_timeout - milliseconds{1});
+    EXPECT_TRUE(effects.empty());
+    advance(milliseconds{1});
+    EXPECT_EQ(find<refuse_request>()->status, 504);
+    EXPECT_NE(find<cancel_attempt>(), nullptr);
+    EXPECT_EQ(router.active(), 0U);
+}
+
+TEST_F(router_fixture, a_failure_of_a_target_keeps_its_status)
+{
+    arrive("unsafe");
+    const auto key = started();
+    auto answer = success();
+    answer.status = 500;
+    give(answer_begun{key, answer});
+    give(answer_finished{key});
+    ASSERT_NE(find<begin_answer>(), nullptr);
+    EXPECT_EQ(find<begin_answer>()->status, 500);
+}
+
+TEST_F(router_fixture, a_promise_of_not_run_is_not_passed_on_for_a_request_that_ran)
+{
+    for (const int status : {408, 429, 503}) {
+        arrive("unsafe");
+        auto answer = success();
+        answer.status = status;
+        give(answer_begun{started(), answer});
+        ASSERT_NE(find<refuse_request>(), nullptr) << status;
+        EXPECT_EQ(find<refuse_request>()->status, 502);
+    }
+}
+
+TEST_F(router_fixture, a_success_without_signature_is_not_passed_on)
+{
+    arrive("unsafe");
+    auto answer = success();
+    answer.is_signed = false;
+    give(answer_begun{started(), answer});
+    EXPECT_EQ(find<refuse_request>()->status, 502);
+}
+
+TEST_F(router_fixture, an_answer_to_another_request_is_skipped)
+{
+    arrive("unsafe");
+    const auto key = started();
+    auto late = success();
+    late.answers = caller_attempt_id{"another"};
+    give(answer_begun{key, late});
+    ASSERT_NE(find<skip_answer>(), nullptr);
+    give(answer_begun{key, success()});
+    give(answer_bytes{key, "own"});
+    give(answer_finished{key});
+    EXPECT_EQ(find<send_bytes>()->bytes, "own");
+}
+
+TEST_F(router_fixture, a_stream_is_passed_on_as_it_arrives)
+{
+    arrive("stream");
+    const auto key = started();
+    give(answer_begun{key, success()});
+    give(answer_bytes{key, "id: 1\nda"});
+    ASSERT_NE(find<begin_answer>(), nullptr);
+    EXPECT_FALSE(find<begin_answer>()->length);
+    EXPECT_EQ(find<send_bytes>()->bytes, "id: 1\nda");
+    give(attempt_broken{key, attempt_stage::answering, "reset"});
+    EXPECT_NE(find<break_answer>(), nullptr);
+    EXPECT_EQ(find<start_attempt>(), nullptr);
+}
+
+TEST_F(router_fixture, a_resumable_stream_goes_on_after_the_last_whole_event)
+{
+    arrive("resumable");
+    const auto first = started();
+    give(answer_begun{first, success()});
+    give(answer_bytes{first, "id: 1\ndata: a\n\nid: 2\nda"});
+    EXPECT_EQ(find<send_bytes>()->bytes, "id: 1\ndata: a\n\n");
+    give(attempt_broken{first, attempt_stage::answering, "reset"});
+    ASSERT_NE(find<start_attempt>(), nullptr);
+    EXPECT_EQ(find<start_attempt>()->terms.resume_after, 1U);
+    const auto second = started();
+    auto answer = success();
+    answer.headers = {{"X-Second", "1"}};
+    give(answer_begun{second, answer});
+    give(answer_bytes{second, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"});
+    EXPECT_EQ(find<begin_answer>(), nullptr);
+    EXPECT_EQ(find<send_bytes>()->bytes, "id: 2\ndata: b\n\n");
+    give(answer_finished{second});
+    EXPECT_NE(find<end_answer>(), nullptr);
+}
+
+TEST_F(router_fixture, a_stream_that_ends_within_an_event_is_not_complete)
+{
+    arrive("resumable");
+    auto key = started();
+    give(answer_begun{key, success()});
+    give(answer_bytes{key, "id: 1\nda"});
+    give(answer_finished{key});
+    EXPECT_EQ(find<end_answer>(), nullptr);
+    ASSERT_NE(find<start_attempt>(), nullptr);
+}
+
+TEST_F(router_fixture, a_caller_that_left_stops_its_run)
+{
+    const auto number = arrive("stream");
+    const auto key = started();
+    give(caller_left{number});
+    EXPECT_EQ(find<cancel_attempt>()->key, key);
+    EXPECT_EQ(router.active(), 0U);
+    give(answer_begun{key, success()});
+    EXPECT_TRUE(effects.empty());
+}
+
+TEST_F(router_fixture, a_leaving_target_gets_nothing_new)
+{
+    targets_changed changed;
+    for (int n = 1; n <= 4; ++n) {
+        changed.targets.push_back(make_target(n));
+        changed.targets.back().is_leaving = n != 3;
+    }
+    give(std::move(changed));
+    for (int i = 0; i < 5; ++i) {
+        arrive("unsafe");
+        EXPECT_EQ(find<start_attempt>()->terms.expected_target.str(), "t3");
+    }
+}
+
+TEST_F(router_fixture, a_stopping_router_refuses_what_would_outlive_it)
+{
+    give(stop_announced{clock.now() + seconds{4}});
+    arrive("stream");
+    EXPECT_NE(find<start_attempt>(), nullptr);
+    clock.advance(traffic_router::stop_accepts_all + milliseconds{1});
+    arrive("stream");
+    ASSERT_NE(find<refuse_request>(), nullptr);
+    EXPECT_EQ(find<refuse_request>()->status, 503);
+    arrive("unsafe", milliseconds{500});
+    EXPECT_NE(find<start_attempt>(), nullptr);
+}
+
+TEST_F(router_fixture, retries_stay_within_the_share_of_this_router)
+{
+    // 0.8 x 10 of the fleet's retries without requests, on two routers; 0.2 x 0.8 per request.
+    give(fleet_changed{2});
+    int retries = 0;
+    constexpr int requests = 36;
+    for (int i = 0; i < requests; ++i) {
+        arrive("unsafe");
+        give(answer_begun{started(), not_run()});
+        while (find<start_attempt>() != nullptr) {
+            ++retries;
+            give(answer_begun{started(), not_run()});
+        }
+        EXPECT_EQ(find<refuse_request>()->status, 503);
+        EXPECT_TRUE(find<refuse_request>()->retry_after);
+        clock.advance(milliseconds{250});
+    }
+    EXPECT_GE(retries, 4);
+    EXPECT_LE(retries, 0.2 * 0.8 * requests + 4);
+}
+
+} // namespace
+} // namespace endivelatch
