Routers that lost the store wait at a peer for its copy; tests of I/O and adapter

Ruled out: the watch's own timeout (keep-alives were answered). Change: while the store does not answer, a router waits at a live peer for a newer copy; a newer copy at a peer ends a watch that stays silent.

--- a/include/endivelatch/entry/entry_process.hpp
+++ b/include/endivelatch/entry/entry_process.hpp
@@ -45,6 +45,8 @@
     static constexpr duration lonely_delay{1'000'000};
     /// Longest wait for calls that announce this router or find others.
     static constexpr duration call_timeout{1'500'000};
+    /// Time between two looks for routers that have waited long enough for a newer copy.
+    static constexpr duration waiters_interval{200'000};
 
 private:
     // Requests and attempts.
@@ -68,6 +70,9 @@
     void on_entry_request(exchange_number id, const request_head& head);
     void on_peer_request(exchange_number id, const request_head& head);
     void on_metrics_request(exchange_number id, const request_head& head);
+    bool answer_copy(exchange_number id, const copy_query& query);
+    void answer_copy_waiters();
+    mirror_client<Protocol>& copy_of(object_kind kind);
 
     // Copies and the fleet.
     void configuration_updated();
@@ -118,6 +123,12 @@
     std::map<exchange_attempt, outgoing_id> outgoing_;
     std::unordered_map<outgoing_id, exchange_attempt> attempts_;
     std::unordered_map<exchange_number, outgoing_id> paused_; ///< Attempts not read any further.
+    /// Another router that waits for a newer copy.
+    struct copy_waiter {
+        copy_query query;
+        time_point until{};
+    };
+    std::map<exchange_number, copy_waiter> copy_waiters_;
     std::map<std::string, store_revision> unreadable_;        ///< Registrations already reported.
     bool was_ready_ = false;
     bool is_stopping_ = false;
@@ -126,6 +137,7 @@
     timer housekeeping_;
     timer stop_timer_;
     timer lonely_timer_;
+    timer waiters_timer_;
     timer flush_timer_;
     signal_watcher on_terminate_;
     signal_watcher on_interrupt_;
--- a/include/endivelatch/entry/entry_process_life.ipp
+++ b/include/endivelatch/entry/entry_process_life.ipp
@@ -21,9 +21,12 @@
       entries_{loop, simple_callbacks([this](exchange_number id, const request_head& head) {
                    on_entry_request(id, head);
                })},
-      peers_{loop, simple_callbacks([this](exchange_number id, const request_head& head) {
-                 on_peer_request(id, head);
-             })},
+      peers_{loop,
+             {[this](exchange_number id, request_head&& head, std::string&&) {
+                  on_peer_request(id, head);
+              },
+              [this](exchange_number id) { copy_waiters_.erase(id); },
+              {}}},
       metrics_{loop, simple_callbacks([this](exchange_number id, const request_head& head) {
                    on_metrics_request(id, head);
                })},
@@ -55,6 +58,7 @@
                                    mirror_settings{},
                                    stable_hash(settings.id.str()),
                                    {[this] { configuration_updated(); },
+                                    [this] { return fleet_.live_peers(); },
                                     [this](log_event&& e) { write(std::move(e)); }}},
       registrations_{loop,
                      calls_,
@@ -64,6 +68,7 @@
                      mirror_settings{.absence_grace = std::chrono::milliseconds{1'800}},
                      stable_hash(settings.id.str()) + 1,
                      {[this] { targets_updated(); },
+                      [this] { return fleet_.live_peers(); },
                       [this](log_event&& e) { write(std::move(e)); }}},
       fleet_{loop,
              settings,
@@ -71,15 +76,14 @@
                  std::chrono::system_clock::now().time_since_epoch() / duration{1'000})},
              {[this] { deliver(fleet_changed{fleet_.live_count()}); },
               [this](object_kind kind, const member& holder, store_revision revision) {
-                  auto& copy =
-                      kind == object_kind::configuration ? configuration_ : registrations_;
-                  copy.take_from(holder.link, revision);
+                  copy_of(kind).take_from(holder.link, revision);
               },
               [this](duration late) { on_pause(late); },
               [this](log_event&& e) { write(std::move(e)); }}},
       wake_{loop, [this] { deliver(timer_due{}); }},
       housekeeping_{loop, [this] { housekeep(); }}, stop_timer_{loop, [this] { check_stop(); }},
-      lonely_timer_{loop, [this] { find_peers(); }}, flush_timer_{loop,
+      lonely_timer_{loop, [this] { find_peers(); }},
+      waiters_timer_{loop, [this] { answer_copy_waiters(); }}, flush_timer_{loop,
                                                                   [this] {
                                                                       sink_->write_buffered();
                                                                   }},
@@ -177,17 +181,62 @@
                      Protocol::write_entry_list(addresses, settings_.bounds.entry_lifetime));
 }
 
+template <entry_protocol Protocol>
+mirror_client<Protocol>& entry_process<Protocol>::copy_of(object_kind kind)
+{
+    return kind == object_kind::configuration ? configuration_ : registrations_;
+}
+
 template <entry_protocol Protocol>
 void entry_process<Protocol>::on_peer_request(exchange_number id, const request_head& head)
 {
-    for (const auto* it : {&configuration_, &registrations_}) {
-        const auto kind = it == &configuration_ ? object_kind::configuration : object_kind::targets;
-        if (head.target == mirror_client<Protocol>::copy_path(kind) && it->mirror().is_known()) {
-            peers_.respond(id, 200, {{"Content-Type", "application/json"}}, it->to_page());
-            return;
+    const auto query = read_copy_query(head.target);
+    if (!query) {
+        peers_.respond(id, 404, {}, {});
+        return;
+    }
+    if (answer_copy(id, *query)) {
+        return;
+    }
+    if (!copy_of(query->kind).mirror().is_connected()) {
+        peers_.respond(id, 204, {}, {}); // Another router may know more.
+        return;
+    }
+    copy_waiters_.emplace(
+        id, copy_waiter{*query, loop_->now() + mirror_client<Protocol>::peer_wait});
+    if (!waiters_timer_.is_active()) {
+        waiters_timer_.start(waiters_interval);
+    }
+}
+
+template <entry_protocol Protocol>
+bool entry_process<Protocol>::answer_copy(exchange_number id, const copy_query& query)
+{
+    const auto& copy = copy_of(query.kind);
+    if (!copy.mirror().is_known() || copy.mirror().revision() <= query.newer_than) {
+        return false;
+    }
+    peers_.respond(id, 200, {{"Content-Type", "application/json"}}, copy.to_page());
+    return true;
+}
+
+template <entry_protocol Protocol>
+void entry_process<Protocol>::answer_copy_waiters()
+{
+    std::erase_if(copy_waiters_, [this](const auto& it) {
+        const auto& [id, waiter] = it;
+        if (answer_copy(id, waiter.query)) {
+            return true;
+        }
+        if (loop_->now() < waiter.until) {
+            return false;
         }
+        peers_.respond(id, 204, {}, {});
+        return true;
+    });
+    if (!copy_waiters_.empty()) {
+        waiters_timer_.start(waiters_interval);
     }
-    peers_.respond(id, 404, {}, {});
 }
 
 template <entry_protocol Protocol>
@@ -202,6 +251,7 @@
 {
     const auto& objects = configuration_.mirror().objects();
     fleet_.publish_copy(object_kind::configuration, configuration_.mirror().revision());
+    answer_copy_waiters();
     if (objects.empty()) {
         return;
     }
@@ -227,6 +277,7 @@
 {
     const auto& mirror = registrations_.mirror();
     fleet_.publish_copy(object_kind::targets, mirror.revision());
+    answer_copy_waiters();
     targets_changed changed;
     changed.revision = mirror.revision().value();
     std::set<endpoint> addresses;
--- a/include/endivelatch/entry/fleet_view.hpp
+++ b/include/endivelatch/entry/fleet_view.hpp
@@ -51,8 +51,8 @@
     /// Returns the addresses for callers of the other routers that are alive and ready.
     std::vector<endpoint> ready_peers() const;
 
-    /// Returns the live member that holds the newest copy, if newer than the revision.
-    const member* newest_holder(object_kind kind, store_revision than) const;
+    /// Returns the addresses for peers of the other live routers.
+    std::vector<endpoint> live_peers() const;
 
     /// Returns whether any other router is known.
     bool has_peers() const { return membership_.has_peers(); }
@@ -81,7 +81,6 @@
     std::vector<endpoint> seeds_;
     timer timer_;
     std::map<router_id, bool> ready_;
-    std::map<object_kind, std::map<router_id, store_revision>> copies_;
     std::uint64_t bytes_sent_ = 0;
 };
 
--- a/include/endivelatch/entry/mirror_client.hpp
+++ b/include/endivelatch/entry/mirror_client.hpp
@@ -3,6 +3,7 @@
 #include "endivelatch/base/log_event.hpp"
 #include "endivelatch/base/overloaded.hpp"
 #include "endivelatch/entry/call_client.hpp"
+#include "endivelatch/entry/copy_query.hpp"
 #include "endivelatch/entry/protocol.hpp"
 #include "endivelatch/mirror/object_mirror.hpp"
 #include "endivelatch/net/timer.hpp"
@@ -12,16 +13,19 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace endivelatch {
 
 /// What a mirror client reports. All must be set.
 struct mirror_client_callbacks {
     std::function<void()> on_updated;
+    std::function<std::vector<endpoint>()> peers; ///< Addresses of the other live routers.
     std::function<void(log_event&&)> on_log;
 };
 
-/// Keeps a copy of the platform's objects of one kind, from the store or from other routers.
+/// Keeps a copy of the platform's objects of one kind, from the store and, while that does not
+/// answer, from other routers.
 template <entry_protocol Protocol>
 class mirror_client {
 public:
@@ -30,7 +34,7 @@
                   mirror_client_callbacks callbacks)
         : loop_{&loop}, calls_{&calls}, kind_{kind}, store_{store}, mirror_{settings, seed},
           callbacks_{std::move(callbacks)}, timer_{loop, [this] { apply(mirror_.tick(now())); }},
-          peer_timer_{loop, [this] { ask_peer(); }}
+          peer_timer_{loop, [this] { on_peer_timer(); }}, random_{seed}
     {
     }
 
@@ -53,13 +57,13 @@
     /// Takes the copy of a router that holds a newer one, unless the store brings it soon.
     void take_from(const endpoint& peer, store_revision revision)
     {
-        if (revision <= mirror_.revision()) {
-            return;
+        if (revision <= mirror_.revision() || !mirror_.is_connected()) {
+            return; // While the store is lost, a peer is watched anyway.
         }
-        peer_ = peer;
-        peer_revision_ = revision;
+        newer_peer_ = peer;
+        newer_revision_ = revision;
         if (!peer_timer_.is_active()) {
-            peer_timer_.start(mirror_.is_known() ? peer_delay : duration{});
+            peer_timer_.start(peer_delay);
         }
     }
 
@@ -74,15 +78,17 @@
         return Protocol::write_page(page);
     }
 
-    /// Path of a copy on a router's address for peers.
-    static std::string copy_path(object_kind kind) { return "/copy/" + std::string{to_string(kind)}; }
-
     /// Longest wait for a list or a copy; the store answers in milliseconds when it is well.
     static constexpr duration list_timeout{1'500'000};
     /// Time beyond its wait after which a watch counts as lost.
     static constexpr duration watch_slack{1'000'000};
     /// Time that the store's watch has to bring a change that a peer already holds.
     static constexpr duration peer_delay{400'000};
+    /// Longest wait of a peer for a newer copy; then another peer is asked.
+    static constexpr duration peer_wait{1'000'000};
+    /// Pause after a peer did not answer, and after one that had nothing newer.
+    static constexpr duration peer_retry{200'000};
+    static constexpr duration peer_pause{50'000};
 
 private:
     time_point now() const { return loop_->now(); }
@@ -156,7 +162,7 @@
             log("store_lost", reason);
         }
         apply(mirror_.call_failed(now()));
-        ask_peer();
+        watch_peer();
     }
 
     void note_success()
@@ -166,33 +172,76 @@
         }
     }
 
-    void ask_peer()
+    void on_peer_timer()
+    {
+        if (!mirror_.is_connected()) {
+            watch_peer();
+        }
+        else if (newer_revision_ > mirror_.revision()) {
+            ask_peer(newer_peer_);
+        }
+    }
+
+    /// Waits for a newer copy at any live router, as long as the store is lost.
+    void watch_peer()
+    {
+        if (mirror_.is_connected() || is_asking_peer_) {
+            return;
+        }
+        const auto peers = callbacks_.peers();
+        if (peers.empty()) {
+            peer_timer_.start(peer_retry);
+            return;
+        }
+        ask_peer(peers[random_.below(peers.size())]);
+    }
+
+    void ask_peer(const endpoint& peer)
     {
-        if (!peer_ || peer_revision_ <= mirror_.revision() || is_asking_peer_) {
+        if (is_asking_peer_) {
             return;
         }
         is_asking_peer_ = true;
-        calls_->call({*peer_, "GET", copy_path(kind_), {}, list_timeout},
-                     [this](call_outcome&& outcome) {
+        // Only a copy asked for beside a working watch tells that the watch is silent.
+        const bool was_connected = mirror_.is_connected();
+        calls_->call({peer, "GET", write_copy_query({kind_, mirror_.revision()}), {},
+                      peer_wait + watch_slack},
+                     [this, peer, was_connected](call_outcome&& outcome) {
                          is_asking_peer_ = false;
-                         take_peer_answer(outcome);
+                         take_peer_answer(peer, outcome, was_connected);
                      });
     }
 
-    void take_peer_answer(const call_outcome& outcome)
+    void take_peer_answer(const endpoint& peer, const call_outcome& outcome, bool was_connected)
     {
         const auto* reply = std::get_if<call_reply>(&outcome);
+        if (reply != nullptr && reply->status == nothing_newer_status) {
+            // A peer that has lost the store, too, answers at once.
+            peer_timer_.start(peer_pause);
+            return;
+        }
         if (reply == nullptr || reply->status != ok_status) {
-            log("copy_not_read", peer_->address);
+            log("copy_not_read", peer.address);
+            peer_timer_.start(peer_retry);
             return;
         }
         auto page = Protocol::read_page(reply->body);
         if (!has_value(page)) {
             log("copy_not_read", to_string(findings_of(page)));
+            peer_timer_.start(peer_retry);
             return;
         }
-        log("copy_read", peer_->address);
+        log("copy_read", peer.address);
+        const auto former = mirror_.revision();
         apply(mirror_.take_copy(std::get<object_page>(std::move(page)), now()));
+        if (was_connected && mirror_.revision() > former && mirror_.is_connected() && call_) {
+            // The store's watch should have brought this; it may be silent.
+            calls_->cancel(*call_);
+            call_.reset();
+            note_failure("a router holds a newer copy");
+            return;
+        }
+        watch_peer();
     }
 
     void log(std::string name, std::string_view reason)
@@ -204,6 +253,7 @@
     }
 
     static constexpr int ok_status = 200;
+    static constexpr int nothing_newer_status = 204;
     static constexpr int history_gone_status = 410;
     static constexpr duration shortest_timer{1'000};
 
@@ -214,12 +264,13 @@
     object_mirror mirror_;
     mirror_client_callbacks callbacks_;
     std::optional<outgoing_id> call_;
-    std::optional<endpoint> peer_;
-    store_revision peer_revision_;
+    endpoint newer_peer_; ///< Said to hold a newer copy.
+    store_revision newer_revision_;
     bool is_asking_peer_ = false;
     bool has_logged_loss_ = false;
     timer timer_;
     timer peer_timer_;
+    random_source random_;
 };
 
 } // namespace endivelatch
--- a/include/endivelatch/mirror/object_mirror.hpp
+++ b/include/endivelatch/mirror/object_mirror.hpp
@@ -66,7 +66,7 @@
 
 /// Times of a mirror.
 struct mirror_settings {
-    duration watch_wait{10'000'000}; ///< Each watch is a priced call; keep-alives find dead ones.
+    duration watch_wait{5'000'000}; ///< Each watch is a priced call; keep-alives find dead ones.
     duration first_retry{100'000};   ///< After a failed call; doubles up to the longest.
     duration longest_retry{1'000'000};
     /// Objects missing right after calls have failed for this long may come back.
--- /dev/null
+++ b/src/entry/copy_query.cpp
@@ -0,0 +1,44 @@
+#include "endivelatch/entry/copy_query.hpp"
+
+#include <charconv>
+
+namespace endivelatch {
+
+namespace {
+
+constexpr std::string_view revision_parameter = "?newer-than=";
+
+std::string copy_path(object_kind kind)
+{
+    return "/copy/" + std::string{to_string(kind)};
+}
+
+} // namespace
+
+std::string write_copy_query(const copy_query& query)
+{
+    return copy_path(query.kind) + std::string{revision_parameter} +
+           std::to_string(query.newer_than.value());
+}
+
+std::optional<copy_query> read_copy_query(std::string_view target)
+{
+    const auto mark = target.find(revision_parameter);
+    if (mark == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const auto number = target.substr(mark + revision_parameter.size());
+    std::uint64_t revision = 0;
+    const auto read = std::from_chars(number.data(), number.data() + number.size(), revision);
+    if (read.ec != std::errc{} || read.ptr != number.data() + number.size()) {
+        return std::nullopt;
+    }
+    for (const auto kind : {object_kind::configuration, object_kind::targets}) {
+        if (target.substr(0, mark) == copy_path(kind)) {
+            return copy_query{kind, store_revision{revision}};
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace endivelatch
--- a/src/entry/fleet_view.cpp
+++ b/src/entry/fleet_view.cpp
@@ -127,21 +127,15 @@
     return addresses;
 }
 
-const member* fleet_view::newest_holder(object_kind kind, store_revision than) const
+std::vector<endpoint> fleet_view::live_peers() const
 {
-    const auto of_kind = copies_.find(kind);
-    if (of_kind == copies_.end()) {
-        return nullptr;
-    }
-    const member* holder = nullptr;
-    for (const auto& [id, revision] : of_kind->second) {
-        const auto* it = membership_.find(id);
-        if (it != nullptr && it->status != member_status::dead && revision > than) {
-            than = revision;
-            holder = it;
+    std::vector<endpoint> addresses;
+    for (const auto& it : membership_.live()) {
+        if (it.id != self_) {
+            addresses.push_back(it.link);
         }
     }
-    return holder;
+    return addresses;
 }
 
 void fleet_view::receive(const endpoint& from, std::string_view bytes)
@@ -203,7 +197,6 @@
     }
     std::uint64_t revision = 0;
     std::from_chars(e.value.data(), e.value.data() + e.value.size(), revision);
-    copies_[*kind][e.router] = store_revision{revision};
     const auto* holder = membership_.find(e.router);
     if (holder != nullptr) {
         callbacks_.on_newer_copy(*kind, *holder, store_revision{revision});
--- /dev/null
+++ b/tests/entry/bounded_sink_test.cpp
@@ -0,0 +1,84 @@
+#include "endivelatch/entry/bounded_sink.hpp"
+#include "endivelatch/entry/copy_query.hpp"
+#include "endivelatch/entry/settings_file.hpp"
+
+#include <array>
+#include <cstdio>
+#include <fstream>
+#include <string>
+
+#include <gtest/gtest.h>
+#include <poll.h>
+#include <spdlog/logger.h>
+#include <unistd.h>
+
+namespace endivelatch {
+namespace {
+
+TEST(bounded_sink, drops_and_counts_lines_while_nobody_reads)
+{
+    std::array<int, 2> ends{};
+    ASSERT_EQ(pipe(ends.data()), 0);
+    const auto sink = std::make_shared<bounded_sink>(ends[1]);
+    spdlog::logger log{"test", sink};
+    log.set_pattern("%v");
+    const std::string line(1'000, 'x');
+    for (int i = 0; i < 1'000; ++i) {
+        log.info(line);
+        sink->write_buffered(); // Must not block.
+    }
+    EXPECT_GT(sink->dropped(), 0U);
+    EXPECT_TRUE(sink->has_buffered());
+    std::string read_back;
+    const auto read_all = [&] {
+        std::array<char, 65'536> buf{};
+        pollfd ready{ends[0], POLLIN, 0};
+        while (poll(&ready, 1, 0) == 1) {
+            const auto n = read(ends[0], buf.data(), buf.size());
+            ASSERT_GT(n, 0);
+            read_back.append(buf.data(), static_cast<std::size_t>(n));
+            sink->write_buffered();
+        }
+    };
+    read_all();
+    EXPECT_FALSE(sink->has_buffered());
+    log.info("last");
+    sink->write_buffered();
+    read_all();
+    EXPECT_NE(read_back.find("event=log_lines_dropped count=" + std::to_string(sink->dropped())),
+              std::string::npos);
+    EXPECT_TRUE(read_back.ends_with("last\n"));
+    close(ends[0]);
+    close(ends[1]);
+}
+
+TEST(settings_file, notices_that_it_was_replaced)
+{
+    const auto path = testing::TempDir() + "endivelatch-settings-test";
+    std::ofstream{path} << "one";
+    settings_file file{path};
+    EXPECT_EQ(file.read(), "one");
+    EXPECT_FALSE(file.has_changed());
+    std::ofstream{path} << "three";
+    EXPECT_TRUE(file.has_changed());
+    EXPECT_EQ(file.read(), "three");
+    EXPECT_FALSE(file.has_changed());
+    std::remove(path.c_str());
+    EXPECT_FALSE(file.has_changed());
+    EXPECT_FALSE(file.read());
+}
+
+TEST(copy_query, survives_its_way)
+{
+    const copy_query query{object_kind::targets, store_revision{530}};
+    const auto read = read_copy_query(write_copy_query(query));
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->kind, query.kind);
+    EXPECT_EQ(read->newer_than, query.newer_than);
+    EXPECT_FALSE(read_copy_query("/copy/targets"));
+    EXPECT_FALSE(read_copy_query("/copy/routers?newer-than=1"));
+    EXPECT_FALSE(read_copy_query("/copy/targets?newer-than=1x"));
+}
+
+} // namespace
+} // namespace endivelatch
--- /dev/null
+++ b/tests/platform_adapter/messages_test.cpp
@@ -0,0 +1,152 @@
+#include "platform/protocol.hpp"
+
+#include <string>
+
+#include <gtest/gtest.h>
+
+namespace endivelatch {
+namespace {
+
+using platform::protocol;
+
+request_head head_of(http_headers headers)
+{
+    request_head head;
+    head.method = "POST";
+    head.target = "/a%20/b?c";
+    head.headers = {{"Host", "Some.Example:80"}, {"Endivelatch-Attempt-Id", "9c41"}};
+    head.headers.insert(head.headers.end(), headers.begin(), headers.end());
+    return head;
+}
+
+caller_request read(http_headers headers, std::string body = {})
+{
+    auto request = protocol::read_request(head_of(std::move(headers)), std::move(body));
+    return std::get<caller_request>(std::move(request));
+}
+
+TEST(platform_messages, reads_a_model_request)
+{
+    const auto request = read({{"Endivelatch-Token-Usage", "1460,80"},
+                               {"Endivelatch-Prefix-Hash", "5c1e07a2:800,91bd3f06:410"},
+                               {"Endivelatch-Deadline-Ms", "6000"},
+                               {"Last-Event-Id", "7"},
+                               {"authorization", "token abc"}});
+    EXPECT_EQ(request.id.str(), "9c41");
+    EXPECT_EQ(request.host, "some.example");
+    EXPECT_EQ(request.path(), "/a%20/b");
+    EXPECT_EQ(request.patience, std::chrono::seconds{6});
+    EXPECT_EQ(request.api_key, "abc");
+    EXPECT_EQ(request.last_event_id, 7U);
+    ASSERT_TRUE(request.prompt);
+    EXPECT_EQ(request.prompt->tokens, 1460U);
+    EXPECT_EQ(request.prompt->output_limit, 80U);
+    ASSERT_EQ(request.prompt->parts.size(), 2U);
+    EXPECT_EQ(request.prompt->parts[1].id, 0x91bd3f06U);
+    EXPECT_EQ(request.prompt->parts[1].tokens, 410U);
+}
+
+TEST(platform_messages, refuses_a_request_without_identifier_or_with_a_malformed_deadline)
+{
+    request_head head;
+    head.headers = {{"Host", "h"}};
+    EXPECT_FALSE(has_value(protocol::read_request(std::move(head), {})));
+    EXPECT_FALSE(
+        has_value(protocol::read_request(head_of({{"Endivelatch-Deadline-Ms", "soon"}}), {})));
+}
+
+TEST(platform_messages, passes_on_only_what_the_caller_may_set)
+{
+    const auto request = read({{"Endivelatch-Model", "m"},
+                               {"X-Own", "1"},
+                               {"Connection", "X-Hop"},
+                               {"X-Hop", "1"},
+                               {"Endivelatch-Tenant", "forged"},
+                               {"Endivelatch-Expected-Instance", "forged"},
+                               {"Endivelatch-Request-Priority", "0"},
+                               {"Endivelatch-Retention", "forged"},
+                               {"Endivelatch-Pin-Ms", "1"},
+                               {"endivelatch-kv-backup", "forged"},
+                               {"Kv-From", "forged"},
+                               {"Kv-Fetch", "forged"},
+                               {"Authorization", "Token abc"}});
+    attempt_terms terms;
+    terms.expected_target = target_id{"i-1"};
+    terms.organisation = organisation_id{"org"};
+    terms.time_left = std::chrono::milliseconds{1'234};
+    const auto text = protocol::write_request(request, terms);
+    EXPECT_TRUE(text.starts_with("POST /a%20/b?c HTTP/1.1\r\n"));
+    for (const char* it : {"Host: Some.Example:80\r\n", "Endivelatch-Model: m\r\n", "X-Own: 1\r\n",
+                           "Endivelatch-Tenant: org\r\n", "Endivelatch-Attempt-Id: 9c41\r\n",
+                           "Endivelatch-Expected-Instance: i-1\r\n",
+                           "Endivelatch-Deadline-Ms: 1234\r\n"}) {
+        EXPECT_NE(text.find(it), std::string::npos) << it;
+    }
+    for (const char* it : {"forged", "abc", "X-Hop", "Pin-Ms", "Request-Priority"}) {
+        EXPECT_EQ(text.find(it), std::string::npos) << it;
+    }
+}
+
+TEST(platform_messages, keeps_the_body_and_announces_its_length)
+{
+    auto head = head_of({});
+    head.is_chunked = true;
+    const auto chunked =
+        std::get<caller_request>(protocol::read_request(std::move(head), std::string{"ab\r\n"}));
+    const auto text = protocol::write_request(chunked, {});
+    EXPECT_TRUE(text.ends_with("Content-Length: 4\r\n\r\nab\r\n"));
+    EXPECT_EQ(protocol::write_request(read({}), {}).find("Content-Length"), std::string::npos);
+}
+
+TEST(platform_messages, reads_what_an_answer_says)
+{
+    answer_head head;
+    head.status = 200;
+    head.headers = {{"Endivelatch-Attempt-Id", "9c41"},
+                    {"Endivelatch-Response-Signature", "s"},
+                    {"Endivelatch-Instance-Load", "3,1,8"},
+                    {"Connection", "close"},
+                    {"Content-Type", "text/plain"}};
+    const auto answer = protocol::read_answer(std::move(head));
+    EXPECT_EQ(answer.answers.str(), "9c41");
+    EXPECT_TRUE(answer.is_signed);
+    EXPECT_FALSE(answer.states_not_run);
+    ASSERT_TRUE(answer.load);
+    EXPECT_EQ(answer.load->running, 3U);
+    EXPECT_EQ(answer.load->waiting, 1U);
+    const http_headers expected{{"Endivelatch-Attempt-Id", "9c41"},
+                                {"Endivelatch-Response-Signature", "s"},
+                                {"Content-Type", "text/plain"}};
+    EXPECT_EQ(answer.headers, expected);
+}
+
+TEST(platform_messages, knows_statements_that_a_request_was_not_run)
+{
+    answer_head shed;
+    shed.status = 503;
+    shed.headers = {{"Endivelatch-Not-Executed", "1"}};
+    EXPECT_TRUE(protocol::read_answer(std::move(shed)).states_not_run);
+    answer_head moved;
+    moved.status = 421;
+    EXPECT_TRUE(protocol::read_answer(std::move(moved)).states_not_run);
+    answer_head failed;
+    failed.status = 503;
+    EXPECT_FALSE(protocol::read_answer(std::move(failed)).states_not_run);
+}
+
+TEST(platform_messages, reads_and_answers_queries_for_entry_addresses)
+{
+    const auto query = protocol::read_entry_query("/-/resolve?Name=h.example&Region=r&Zone=z");
+    ASSERT_TRUE(query);
+    EXPECT_EQ(query->host, "h.example");
+    EXPECT_EQ(query->domain.str(), "z");
+    EXPECT_FALSE(protocol::read_entry_query("/-/other"));
+    EXPECT_EQ(protocol::write_entry_list({{"10.0.0.1", 80}}, std::chrono::milliseconds{1'500}),
+              R"({"Addresses":["10.0.0.1:80"],"TtlS":1.5})");
+    refuse_request refusal;
+    refusal.retry_after = std::chrono::milliseconds{300};
+    EXPECT_EQ(protocol::refusal_headers(refusal), (http_headers{{"Retry-After", "0.300"}}));
+}
+
+} // namespace
+} // namespace endivelatch
--- /dev/null
+++ b/tests/platform_adapter/objects_test.cpp
@@ -0,0 +1,113 @@
+#include "platform/protocol.hpp"
+
+#include <string>
+
+#include <gtest/gtest.h>
+
+namespace endivelatch {
+namespace {
+
+using platform::protocol;
+
+TEST(platform_objects, writes_the_calls_of_the_store)
+{
+    EXPECT_EQ(protocol::list_call(object_kind::targets, "").target, "/-/objects/servers");
+    EXPECT_EQ(protocol::list_call(object_kind::targets, "i-7").target,
+              "/-/objects/servers?After=i-7");
+    EXPECT_EQ(protocol::watch_call(object_kind::configuration, store_revision{530},
+                                   std::chrono::seconds{5})
+                  .target,
+              "/-/objects/config?Watch=530&WaitMs=5000");
+}
+
+TEST(platform_objects, a_page_survives_its_way_over_a_peer)
+{
+    const auto read = protocol::read_page(
+        R"({"Items":[{"Metadata":{"Name":"a","Revision":7},"Spec":{"x":[1,"é"]},"Status":null},
+            "no object",{"Metadata":{"Name":3}}],"HasMore":false,"At":9})");
+    ASSERT_TRUE(has_value(read));
+    ASSERT_EQ(value_of(read).objects.size(), 1U); // What cannot be read loses only itself.
+    const auto again = protocol::read_page(protocol::write_page(value_of(read)));
+    ASSERT_TRUE(has_value(again));
+    EXPECT_EQ(value_of(again).objects, value_of(read).objects);
+    EXPECT_EQ(value_of(again).revision, store_revision{9});
+}
+
+TEST(platform_objects, reads_changes)
+{
+    const auto read = protocol::read_changes(
+        R"({"events":[{"Deleted":true,"Object":{"Metadata":{"Name":"a","Revision":8},"Spec":{}}},
+            {"Deleted":false},5],"At":8})");
+    ASSERT_TRUE(has_value(read));
+    ASSERT_EQ(value_of(read).changes.size(), 1U);
+    EXPECT_TRUE(value_of(read).changes[0].is_deleted);
+    EXPECT_FALSE(has_value(protocol::read_changes("{\"events\":[]}")));
+    EXPECT_FALSE(has_value(protocol::read_changes("[")));
+}
+
+TEST(platform_objects, reads_a_registration_or_says_what_is_wrong)
+{
+    const auto target = protocol::read_target(
+        {"i-7", store_revision{1},
+         R"({"Service":"s","Address":"10.0.0.9:80","Zone":"z","Slots":64,"State":"draining",
+             "Sequence":4,"born":1700000000000})"});
+    ASSERT_TRUE(has_value(target)) << to_string(findings_of(target));
+    EXPECT_EQ(value_of(target).pool.str(), "s");
+    EXPECT_EQ(value_of(target).address, (endpoint{"10.0.0.9", 80}));
+    EXPECT_TRUE(value_of(target).is_leaving);
+    EXPECT_EQ(value_of(target).started.value(), 1'700'000'000'000U);
+    for (const char* it :
+         {"7", "{}", R"({"Service":"s","Address":"10.0.0.9","Zone":"z","State":"ready"})",
+          R"({"Service":"s","Address":"10.0.0.9:80","Zone":"z","State":"resting"})",
+          R"({"Service":["s"],"Address":"10.0.0.9:80","Zone":"z","State":"ready"})"}) {
+        EXPECT_FALSE(has_value(protocol::read_target({"i-7", store_revision{1}, it}))) << it;
+    }
+}
+
+TEST(platform_objects, reads_a_configuration)
+{
+    const auto read = protocol::read_configuration(
+        {"main", store_revision{1},
+         R"({"Version":7,"Routes":[{"Name":"r","Host":"H.example","PathPrefix":"/p/",
+             "Type":"streaming","TimeoutMs":4000,"TargetLatencyMs":500,"Priority":2,
+             "TrafficSplit":[{"Service":"a","Weight":90},{"Service":"b","Weight":10}],
+             "MaxAttempts":2,"Anonymous":true,"SessionAffinity":true,"StreamResume":true,
+             "TargetGapMs":250}],
+             "Services":[{"Name":"a","HealthPath":"/h","MaxConnections":360,
+                          "Engine":{"Slots":64,"KvCapacity":343073}},{"Name":"b"}],
+             "Limits":{"MaxHeaderBytes":100,"MaxBodyBytes":200,"HeaderTimeoutMs":300,
+                       "IdleTimeoutMs":400},
+             "Tenants":[{"Name":"t","ApiKeys":["k1","k2"],"Priority":1}]})"});
+    ASSERT_TRUE(has_value(read)) << to_string(findings_of(read));
+    const auto& all = value_of(read);
+    EXPECT_EQ(all.version(), traffic_version{7});
+    const auto* route = all.find_route("h.example", "/p/x");
+    ASSERT_NE(route, nullptr);
+    EXPECT_EQ(route->kind, request_kind::streaming);
+    EXPECT_EQ(route->timeout, std::chrono::seconds{4});
+    EXPECT_EQ(route->pools.size(), 2U);
+    EXPECT_TRUE(route->is_anonymous);
+    EXPECT_TRUE(route->is_idempotent());
+    EXPECT_EQ(all.find_pool(pool_id{"a"})->engine->cache_tokens, 343'073U);
+    EXPECT_FALSE(all.find_pool(pool_id{"b"})->engine);
+    EXPECT_EQ(all.find_organisation("k2")->priority, 1U);
+    EXPECT_EQ(all.find_organisation("k3"), nullptr);
+    EXPECT_EQ(all.limits().sizes.head, 100U);
+    EXPECT_EQ(all.limits().idle_timeout, std::chrono::milliseconds{400});
+}
+
+TEST(platform_objects, names_the_place_of_each_fault_of_a_configuration)
+{
+    const auto read = protocol::read_configuration(
+        {"main", store_revision{1},
+         R"({"Version":"7","Routes":[{"Name":"r","Host":"h","PathPrefix":"/p/","Type":"odd",
+             "Service":"a"}],"Tenants":[{"Name":"t","ApiKeys":[5]}]})"});
+    ASSERT_FALSE(has_value(read));
+    const auto text = to_string(findings_of(read));
+    for (const char* it : {"Version", "Routes[0].Type", "Tenants[0].ApiKeys"}) {
+        EXPECT_NE(text.find(it), std::string::npos) << text;
+    }
+}
+
+} // namespace
+} // namespace endivelatch
