--- a/include/endivelatch/traffic/request.hpp
+++ b/include/endivelatch/traffic/request.hpp
@@ -3,6 +3,7 @@
 #include "endivelatch/base/ids.hpp"
 #include "endivelatch/base/time.hpp"
 #include "endivelatch/http1/http_header.hpp"
+#include "endivelatch/membership/member.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -90,6 +91,8 @@
     duration time_left{};         ///< The target stops work after it.
     std::optional<std::uint32_t> priority; ///< 0 is the most urgent; only for model requests.
     std::optional<std::uint64_t> resume_after; ///< Last event that the caller has.
+    /// Target that probably has cached parts of the prompt that this one lacks.
+    std::optional<endpoint> fetch_from;
 };
 
 } // namespace endivelatch
--- a/include/endivelatch/traffic/target_choice.hpp
+++ b/include/endivelatch/traffic/target_choice.hpp
@@ -30,6 +30,8 @@
     double cost_ms = 0;              ///< Expected wait for the first token, or for a slot.
     std::uint32_t unread_tokens = 0; ///< Prompt tokens that are probably not cached there.
     bool is_home = false;            ///< First in the rendezvous order of the prompt.
+    /// Target that probably has the shared parts which the chosen one has not.
+    std::optional<endpoint> fetch_from;
 };
 
 /// Why there is no target.
@@ -59,6 +61,9 @@
 /// Share of the bound that is used, since the counts of other routers are estimates.
 inline constexpr double load_bound_share = 0.9;
 
+/// Shared tokens that a target must lack before they are fetched from another one.
+inline constexpr std::uint32_t least_fetched_tokens = 500;
+
 /// Chooses the target with the least expected wait among those below their bound.
 choice choose_target(const choice_query& query, const target_table& table, time_point now);
 
--- a/include/endivelatch/traffic/target_state.hpp
+++ b/include/endivelatch/traffic/target_state.hpp
@@ -36,13 +36,16 @@
 /// What this router knows about one target.
 class target_state {
 public:
-    explicit target_state(registered_target facts);
+    target_state(registered_target facts, time_point now);
 
     /// Returns what the target registered.
     const registered_target& facts() const { return facts_; }
 
     /// Replaces what is registered; a new start forgets all that was learned.
-    void update(const registered_target& facts);
+    void update(const registered_target& facts, time_point now);
+
+    /// Returns when this start of the target became known.
+    time_point known_since() const { return known_since_; }
 
     /// Returns the hash that ranks the target for a prompt.
     std::uint64_t hash() const { return hash_; }
@@ -118,6 +121,7 @@
 
     registered_target facts_;
     std::uint64_t hash_ = 0;
+    time_point known_since_{};
     std::uint32_t own_in_flight_ = 0;
     std::uint64_t unread_tokens_ = 0;
     std::optional<target_load> load_;
--- a/include/endivelatch/traffic/target_table.hpp
+++ b/include/endivelatch/traffic/target_table.hpp
@@ -11,7 +11,7 @@
 class target_table {
 public:
     /// Replaces the registrations; what was learned about targets that stay is kept.
-    void replace(const std::vector<registered_target>& all);
+    void replace(const std::vector<registered_target>& all, time_point now);
 
     /// Returns the target, or null.
     target_state* find(const target_id& id);
@@ -19,6 +19,9 @@
     /// Returns the targets of the pool that take new requests.
     const std::vector<target_state*>& ready(const pool_id& pool) const;
 
+    /// Returns all targets of the pool, leaving ones included.
+    const std::vector<target_state*>& registered(const pool_id& pool) const;
+
     /// Returns the number of targets, leaving ones included.
     std::size_t size() const { return targets_.size(); }
 
@@ -28,6 +31,7 @@
 private:
     std::map<target_id, target_state> targets_;
     std::map<pool_id, std::vector<target_state*>> ready_;
+    std::map<pool_id, std::vector<target_state*>> registered_;
     bool is_known_ = false;
 };
 
--- a/src/traffic/target_choice.cpp
+++ b/src/traffic/target_choice.cpp
@@ -4,7 +4,7 @@
 #include "endivelatch/routing/rendezvous.hpp"
 
 #include <algorithm>
-#include <limits>
+#include <numeric>
 #include <span>
 #include <vector>
 
@@ -61,6 +61,12 @@
     return all;
 }
 
+std::uint32_t total_tokens(std::span<const prompt_part> parts)
+{
+    return std::accumulate(parts.begin(), parts.end(), 0U,
+                           [](std::uint32_t sum, const auto& it) { return sum + it.tokens; });
+}
+
 double domain_cost(const choice_query& query, const candidate& it)
 {
     return it.target->facts().domain == query.domain ? 0 : other_domain_ms;
@@ -73,11 +79,7 @@
     const auto shared = shared_parts(*query.prompt);
     auto cached = it.target->cached_tokens(query.prompt->parts, now);
     if (it.is_home) {
-        std::uint32_t tokens = 0;
-        for (const auto& part : shared) {
-            tokens += part.tokens;
-        }
-        cached = std::max(cached, tokens);
+        cached = std::max(cached, total_tokens(shared));
     }
     it.unread_tokens = query.prompt->tokens - std::min(cached, query.prompt->tokens);
     const auto unread = static_cast<double>(it.unread_tokens + it.target->unread_tokens());
@@ -114,6 +116,37 @@
     return a.cost_ms < b.cost_ms || (a.cost_ms == b.cost_ms && a.rank > b.rank);
 }
 
+/// Returns the target that was the home of the prompt before the chosen one, which probably has
+/// the shared parts; nothing when the chosen one has them or there is little to fetch.
+std::optional<endpoint> fetch_source(const choice_query& query, const target_table& table,
+                                     const candidate& chosen, time_point now)
+{
+    if (query.prompt == nullptr) {
+        return std::nullopt;
+    }
+    const auto shared = shared_parts(*query.prompt);
+    const auto needed = total_tokens(shared);
+    if (chosen.target->cached_tokens(shared, now) + least_fetched_tokens > needed) {
+        return std::nullopt;
+    }
+    const auto place = placement_hash(query);
+    const target_state* source = nullptr;
+    std::uint64_t best = 0;
+    for (const auto* it : table.registered(query.pool)) {
+        // A home that joined with the chosen target or after it has no more than that.
+        const bool is_older = !chosen.is_home || it->known_since() < chosen.target->known_since();
+        const auto weight = rendezvous_weight(place, it->hash());
+        if (it != chosen.target && is_older && !it->is_ejected(now) && weight > best) {
+            best = weight;
+            source = it;
+        }
+    }
+    if (source == nullptr) {
+        return std::nullopt;
+    }
+    return source->facts().address;
+}
+
 } // namespace
 
 std::string_view to_string(no_target_reason reason)
@@ -168,8 +201,13 @@
     if (best == nullptr) {
         return no_target_reason::all_full;
     }
-    return chosen_target{best->target, best->in_flight,     mean,
-                         best->cost_ms, best->unread_tokens, best->is_home};
+    return chosen_target{best->target,
+                         best->in_flight,
+                         mean,
+                         best->cost_ms,
+                         best->unread_tokens,
+                         best->is_home,
+                         fetch_source(query, table, *best, now)};
 }
 
 } // namespace endivelatch
--- a/src/traffic/target_state.cpp
+++ b/src/traffic/target_state.cpp
@@ -7,15 +7,15 @@
 
 namespace endivelatch {
 
-target_state::target_state(registered_target facts)
-    : facts_{std::move(facts)}, hash_{stable_hash(facts_.id.str())}
+target_state::target_state(registered_target facts, time_point now)
+    : facts_{std::move(facts)}, hash_{stable_hash(facts_.id.str())}, known_since_{now}
 {
 }
 
-void target_state::update(const registered_target& facts)
+void target_state::update(const registered_target& facts, time_point now)
 {
     if (facts.started != facts_.started || facts.address != facts_.address) {
-        *this = target_state{facts};
+        *this = target_state{facts, now};
         return;
     }
     facts_ = facts;
--- a/src/traffic/target_table.cpp
+++ b/src/traffic/target_table.cpp
@@ -4,19 +4,33 @@
 
 namespace endivelatch {
 
-void target_table::replace(const std::vector<registered_target>& all)
+namespace {
+
+const std::vector<target_state*>&
+of_pool(const std::map<pool_id, std::vector<target_state*>>& all, const pool_id& pool)
+{
+    static const std::vector<target_state*> none;
+    const auto it = all.find(pool);
+    return it == all.end() ? none : it->second;
+}
+
+} // namespace
+
+void target_table::replace(const std::vector<registered_target>& all, time_point now)
 {
     std::set<target_id> present;
     for (const auto& it : all) {
         present.insert(it.id);
-        const auto [known, is_new] = targets_.try_emplace(it.id, it);
+        const auto [known, is_new] = targets_.try_emplace(it.id, it, now);
         if (!is_new) {
-            known->second.update(it);
+            known->second.update(it, now);
         }
     }
     std::erase_if(targets_, [&](const auto& it) { return !present.contains(it.first); });
     ready_.clear();
+    registered_.clear();
     for (auto& [id, state] : targets_) {
+        registered_[state.facts().pool].push_back(&state);
         if (!state.facts().is_leaving) {
             ready_[state.facts().pool].push_back(&state);
         }
@@ -32,9 +46,12 @@
 
 const std::vector<target_state*>& target_table::ready(const pool_id& pool) const
 {
-    static const std::vector<target_state*> none;
-    const auto it = ready_.find(pool);
-    return it == ready_.end() ? none : it->second;
+    return of_pool(ready_, pool);
+}
+
+const std::vector<target_state*>& target_table::registered(const pool_id& pool) const
+{
+    return of_pool(registered_, pool);
 }
 
 } // namespace endivelatch
--- a/src/traffic/traffic_attempts.cpp
+++ b/src/traffic/traffic_attempts.cpp
@@ -68,6 +68,7 @@
             .add("in_flight", tenths(chosen.in_flight))
             .add("mean", tenths(chosen.mean_in_flight))
             .add("unread_tokens", chosen.unread_tokens)
+            .add("fetch", chosen.fetch_from ? chosen.fetch_from->address : "")
             .add("cost_ms", tenths(chosen.cost_ms))
             .add("load_age_ms", age ? age->count() / 1'000 : -1)
             .add("config", configuration_->version().value())
@@ -89,6 +90,7 @@
     effect.terms.time_left = it.expires_at - now_;
     if (it.request->prompt) {
         effect.terms.priority = it.priority;
+        effect.terms.fetch_from = chosen.fetch_from;
     }
     if (it.last_event != it.request->last_event_id) {
         effect.terms.resume_after = it.last_event;
--- a/src/traffic/traffic_router.cpp
+++ b/src/traffic/traffic_router.cpp
@@ -157,7 +157,7 @@
 
 void traffic_router::on(targets_changed& e)
 {
-    targets_.replace(e.targets);
+    targets_.replace(e.targets, now_);
     targets_revision_ = e.revision;
     const auto leaving = std::count_if(e.targets.begin(), e.targets.end(),
                                        [](const auto& it) { return it.is_leaving; });
--- a/tests/traffic/target_choice_test.cpp
+++ b/tests/traffic/target_choice_test.cpp
@@ -18,7 +18,8 @@
             all.push_back(make_target(n));
             all.back().domain = domain_id{n % 2 == 0 ? "even" : "odd"};
         }
-        table.replace(all);
+        table.replace(all, clock.now());
+        clock.advance(seconds{10});
         prompt.tokens = 9'000;
         prompt.parts = {{1, 2'500}, {2, 6'000}, {3, 500}};
         query.pool = pool_id{"pool"};
@@ -77,6 +78,34 @@
     EXPECT_EQ(choose().unread_tokens, 9'000U);
 }
 
+TEST_F(choice_fixture, a_spilled_prompt_is_fetched_from_its_home)
+{
+    query.prompt = &prompt;
+    auto* home = choose().target;
+    EXPECT_FALSE(choose().fetch_from);
+    home->sent(20'000);
+    const auto spilled = choose();
+    ASSERT_NE(spilled.target, home);
+    EXPECT_EQ(spilled.fetch_from, home->facts().address);
+    spilled.target->remember(prompt.parts, clock.now());
+    EXPECT_FALSE(choose().fetch_from);
+}
+
+TEST_F(choice_fixture, a_new_home_fetches_from_the_one_before_also_when_that_leaves)
+{
+    query.prompt = &prompt;
+    auto* former = choose().target;
+    std::vector<registered_target> all;
+    for (int n = 1; n <= 60; ++n) {
+        all.push_back(make_target(n));
+        all.back().is_leaving = all.back().id == former->facts().id;
+    }
+    table.replace(all, clock.now());
+    const auto chosen = choose();
+    EXPECT_NE(chosen.target, former);
+    EXPECT_EQ(chosen.fetch_from, former->facts().address);
+}
+
 TEST_F(choice_fixture, no_target_goes_far_above_the_mean)
 {
     query.prompt = &prompt;
@@ -127,7 +156,7 @@
     auto again = target(1).facts();
     again.started = incarnation{5};
     std::vector<registered_target> all{again};
-    table.replace(all);
+    table.replace(all, clock.now());
     EXPECT_EQ(target(1).own_in_flight(), 0U);
     EXPECT_EQ(target(1).cached_tokens(prompt.parts, clock.now()), 0U);
     EXPECT_EQ(table.size(), 1U);
