Timeouts of routes with little time do not speak against their targets

Cause: requests on a route with a timeout of 400 ms, four of its objectives, ended unanswered and ejected healthy targets after three. Ruled out: silent targets (they answered others meanwhile).

--- a/include/endivelatch/traffic/traffic_router.hpp
+++ b/include/endivelatch/traffic/traffic_router.hpp
@@ -58,6 +58,8 @@
     static constexpr duration shortest_attempt{20'000};
     /// An idempotent plain request goes to another target after this many latency objectives.
     static constexpr int hung_after_objectives = 3;
+    /// A target that has sent nothing for this many latency objectives counts as failed.
+    static constexpr int silent_after_objectives = 6;
     /// Body of a plain answer that is held back until it is whole, in bytes.
     static constexpr std::size_t most_held_bytes = 262'144;
     /// Time after which to return when the router does not know its configuration or targets yet.
--- a/src/traffic/target_choice.cpp
+++ b/src/traffic/target_choice.cpp
@@ -116,24 +116,34 @@
     return a.cost_ms < b.cost_ms || (a.cost_ms == b.cost_ms && a.rank > b.rank);
 }
 
-/// Returns the target that was the home of the prompt before the chosen one, which probably has
-/// the shared parts; nothing when the chosen one has them or there is little to fetch.
-std::optional<endpoint> fetch_source(const choice_query& query, const target_table& table,
-                                     const candidate& chosen, time_point now)
+/// Returns the target that this router knows to have the most of the prompt's shared parts, if
+/// clearly more than the chosen one.
+const target_state* known_source(const target_table& table, const choice_query& query,
+                                 const candidate& chosen, time_point now)
 {
-    if (query.prompt == nullptr) {
-        return std::nullopt;
-    }
     const auto shared = shared_parts(*query.prompt);
-    const auto needed = total_tokens(shared);
-    if (chosen.target->cached_tokens(shared, now) + least_fetched_tokens > needed) {
-        return std::nullopt;
+    auto most = chosen.target->cached_tokens(shared, now) + least_fetched_tokens;
+    const target_state* source = nullptr;
+    for (const auto* it : table.registered(query.pool)) {
+        const auto tokens = it->cached_tokens(shared, now);
+        if (tokens > most && it != chosen.target && !it->is_ejected(now)) {
+            most = tokens;
+            source = it;
+        }
     }
+    return source;
+}
+
+/// Returns the target that was the home of the prompt before the chosen one: the first in the
+/// rendezvous order, leaving targets included. A target that joined with the chosen home or after
+/// it has no more than that.
+const target_state* former_home(const target_table& table, const choice_query& query,
+                                const candidate& chosen, time_point now)
+{
     const auto place = placement_hash(query);
     const target_state* source = nullptr;
     std::uint64_t best = 0;
     for (const auto* it : table.registered(query.pool)) {
-        // A home that joined with the chosen target or after it has no more than that.
         const bool is_older = !chosen.is_home || it->known_since() < chosen.target->known_since();
         const auto weight = rendezvous_weight(place, it->hash());
         if (it != chosen.target && is_older && !it->is_ejected(now) && weight > best) {
@@ -141,6 +151,25 @@
             source = it;
         }
     }
+    return source;
+}
+
+/// Returns the target that probably has shared parts which the chosen one lacks; nothing when the
+/// chosen one has them or there is little to fetch.
+std::optional<endpoint> fetch_source(const choice_query& query, const target_table& table,
+                                     const candidate& chosen, time_point now)
+{
+    if (query.prompt == nullptr) {
+        return std::nullopt;
+    }
+    const auto shared = shared_parts(*query.prompt);
+    if (chosen.target->cached_tokens(shared, now) + least_fetched_tokens > total_tokens(shared)) {
+        return std::nullopt;
+    }
+    const auto* source = known_source(table, query, chosen, now);
+    if (source == nullptr) {
+        source = former_home(table, query, chosen, now);
+    }
     if (source == nullptr) {
         return std::nullopt;
     }
--- a/src/traffic/traffic_answers.cpp
+++ b/src/traffic/traffic_answers.cpp
@@ -161,8 +161,11 @@
     }
     if (it.running) {
         effects_.emplace_back(cancel_attempt{{number, it.running->number}});
-        // The caller or the clock ended the attempt; a target that said nothing may be unwell.
-        const bool was_silent = !it.running->is_answering && outcome != "caller_left";
+        // The caller or the clock ended the attempt; a target that said nothing may be unwell,
+        // unless the route allows it too little time to tell.
+        const bool was_silent =
+            !it.running->is_answering && outcome != "caller_left" &&
+            now_ - it.running->sent_at >= it.route.latency_objective * silent_after_objectives;
         if (auto* target = target_of(it); target != nullptr) {
             if (!it.running->has_read_prompt) {
                 target->prompt_read(it.running->unread_tokens);
--- a/tests/traffic/traffic_router_test.cpp
+++ b/tests/traffic/traffic_router_test.cpp
@@ -129,6 +129,17 @@
     EXPECT_EQ(router.active(), 0U);
 }
 
+TEST_F(router_fixture, a_request_with_little_time_does_not_speak_against_its_target)
+{
+    const auto rounds = target_state::ejecting_failures * 4;
+    for (std::uint32_t i = 0; i < rounds; ++i) {
+        arrive("unsafe", test_objective * 2);
+        advance(test_objective * 2);
+        EXPECT_EQ(find<refuse_request>()->status, 504);
+    }
+    EXPECT_EQ(router.metrics().value("ejections"), 0);
+}
+
 TEST_F(router_fixture, a_failure_of_a_target_keeps_its_status)
 {
     arrive("unsafe");
