--- /dev/null
+++ b/tests/traffic/traffic_world.cpp
@@ -0,0 +1,356 @@
+#include "traffic_world.hpp"
+
+#include "router_fixture.hpp"
+
+#include <algorithm>
+
+namespace endivelatch {
+
+namespace {
+
+constexpr int target_count = 5;
+constexpr duration budget_window = std::chrono::seconds{10};
+constexpr duration end_slack = std::chrono::milliseconds{50};
+
+} // namespace
+
+traffic_world::traffic_world(std::uint64_t seed, missing_protection missing)
+    : random_{seed}, missing_{missing}
+{
+    give(configuration_changed{make_configuration()});
+    for (int n = 1; n <= target_count; ++n) {
+        targets_.push_back(make_target(n));
+    }
+    change_targets();
+}
+
+void traffic_world::run(int steps)
+{
+    for (int i = 0; i < steps; ++i) {
+        step();
+    }
+    clock_.advance(test_timeout);
+    give(timer_due{});
+    for (const auto& [number, it] : requests_) {
+        if (!it.has_ended) {
+            fault("ends", "request " + std::to_string(number.value()) + " never ended");
+        }
+    }
+    if (router_.active() != 0) {
+        fault("ends", "the router still holds requests");
+    }
+}
+
+void traffic_world::step()
+{
+    const auto draw = random_.below(100);
+    if (draw < 25) {
+        arrive();
+    }
+    else if (draw < 80 && !attempts_.empty()) {
+        advance_attempt(random_.below(attempts_.size()));
+    }
+    else if (draw < 84) {
+        change_targets();
+    }
+    else if (draw < 87 && !requests_.empty()) {
+        auto it = requests_.begin();
+        std::advance(it, static_cast<std::ptrdiff_t>(random_.below(requests_.size())));
+        if (!it->second.has_ended) {
+            const auto number = it->first;
+            it->second.has_ended = true; // The caller takes nothing more.
+            ++ended_;
+            give(caller_left{number});
+        }
+    }
+    else {
+        clock_.advance(std::chrono::milliseconds{1 + random_.below(60)});
+        give(timer_due{});
+    }
+    check_time();
+}
+
+void traffic_world::arrive()
+{
+    static const std::vector<traffic_route> routes{
+        make_route("safe", request_kind::safe, 2), make_route("unsafe", request_kind::unsafe, 1),
+        make_route("stream", request_kind::streaming, 1),
+        make_route("resumable", request_kind::streaming, 2, true)};
+    const auto& route = routes[random_.below(routes.size())];
+    const exchange_number number{++last_request_};
+    seen_request seen;
+    seen.host = route.host;
+    seen.is_idempotent = route.is_idempotent();
+    seen.max_attempts = route.max_attempts;
+    seen.length = 1 + static_cast<int>(random_.below(5));
+    caller_request request;
+    request.id = caller_attempt_id{std::to_string(number.value())};
+    request.host = route.host;
+    request.target = "/p/x";
+    request.api_key = "key";
+    const std::chrono::milliseconds patience{100 + random_.below(3'000)};
+    request.patience = patience;
+    seen.must_end_by = clock_.now() + std::min<duration>(patience, test_timeout) + end_slack;
+    requests_.emplace(number, seen);
+    request_times_.push_back(clock_.now());
+    give(request_arrived{number, std::move(request)});
+}
+
+void traffic_world::change_targets()
+{
+    auto& it = targets_[random_.below(targets_.size())];
+    if (random_.below(3) == 0) {
+        it.started = incarnation{it.started.value() + 1};
+    }
+    it.is_leaving = !it.is_leaving && random_.below(2) == 0;
+    leaving_.clear();
+    targets_changed changed{targets_, 0};
+    for (auto& target : changed.targets) {
+        if (target.is_leaving) {
+            leaving_.insert(target.id);
+        }
+        target.is_leaving = target.is_leaving && missing_ != missing_protection::drain;
+    }
+    give(std::move(changed));
+}
+
+void traffic_world::advance_attempt(std::size_t index)
+{
+    auto it = attempts_[index];
+    auto& request = requests_.at(it.key.exchange);
+    const auto draw = random_.below(20);
+    if (!it.runs && draw < 2) {
+        attempts_.erase(attempts_.begin() + static_cast<std::ptrdiff_t>(index));
+        give(attempt_broken{it.key, attempt_stage::not_sent, "refused"});
+        return;
+    }
+    if (!it.runs) {
+        ++request.arrivals;
+        if (request.arrivals > 1) {
+            retry_times_.push_back(clock_.now());
+        }
+        if (draw < 5) {
+            if (missing_ == missing_protection::statement) {
+                ++request.runs;
+            }
+            attempts_.erase(attempts_.begin() + static_cast<std::ptrdiff_t>(index));
+            give(answer_begun{it.key, [] {
+                                  target_answer refusal;
+                                  refusal.status = 503;
+                                  refusal.states_not_run = true;
+                                  return refusal;
+                              }()});
+            return;
+        }
+        ++request.runs;
+        if (request.said_not_run) {
+            fault("not run", it.request_id + " runs after it was said not to");
+        }
+        if (!request.is_idempotent && request.runs > 1) {
+            fault("once", it.request_id + " runs twice");
+        }
+        if (request.runs > static_cast<int>(request.max_attempts)) {
+            fault("attempts", it.request_id + " runs on too many targets");
+        }
+        attempts_[index].runs = true;
+        return;
+    }
+    if (draw < 2) {
+        attempts_.erase(attempts_.begin() + static_cast<std::ptrdiff_t>(index));
+        if (missing_ == missing_protection::ending && it.has_head) {
+            give(answer_finished{it.key});
+            return;
+        }
+        const bool says_not_sent = missing_ == missing_protection::stage;
+        const auto stage = it.has_head ? attempt_stage::answering : attempt_stage::sent;
+        give(attempt_broken{it.key, says_not_sent ? attempt_stage::not_sent : stage, "reset"});
+        return;
+    }
+    if (!it.has_head) {
+        target_answer answer;
+        answer.status = draw == 3 ? 500 : 200;
+        answer.is_signed = draw != 4 || missing_ == missing_protection::signature;
+        answer.answers = caller_attempt_id{it.request_id};
+        if (draw == 5 || draw == 6) {
+            // An answer to an earlier request comes first.
+            if (missing_ != missing_protection::identity) {
+                answer.answers = caller_attempt_id{"other"};
+                give(answer_begun{it.key, answer});
+                return;
+            }
+            attempts_[index].has_head = true;
+            give(answer_begun{it.key, answer});
+            give(answer_bytes{it.key, "other"});
+            return;
+        }
+        attempts_[index].has_head = true;
+        if (answer.status != 200 || draw == 4) {
+            attempts_[index].last_event = 0;
+            attempts_[index].next_event = 1;
+        }
+        if (draw == 4) {
+            attempts_[index].last_event = 1; // Its body is not the target's.
+        }
+        give(answer_begun{it.key, answer});
+        if (draw == 4 && missing_ == missing_protection::signature) {
+            give(answer_bytes{it.key, "unsigned"});
+        }
+        return;
+    }
+    if (it.next_event > it.last_event) {
+        end_attempt(index);
+        return;
+    }
+    ++attempts_[index].next_event;
+    const auto text = event_text(it.next_event);
+    const auto cut = random_.below(text.size() + 1); // Bytes arrive in any pieces.
+    give(answer_bytes{it.key, text.substr(0, cut)});
+    give(answer_bytes{it.key, text.substr(cut)});
+}
+
+void traffic_world::end_attempt(std::size_t index)
+{
+    const auto key = attempts_[index].key;
+    attempts_.erase(attempts_.begin() + static_cast<std::ptrdiff_t>(index));
+    give(answer_finished{key});
+}
+
+void traffic_world::give(traffic_event&& event)
+{
+    auto effects = router_.handle(std::move(event), clock_.now());
+    for (auto& it : effects) {
+        std::visit([this](auto& e) { on(e); }, it);
+    }
+}
+
+void traffic_world::check_time()
+{
+    for (const auto& [number, it] : requests_) {
+        if (!it.has_ended && clock_.now() > it.must_end_by + std::chrono::milliseconds{60}) {
+            fault("timeout", "request " + std::to_string(number.value()) + " has no answer in time");
+        }
+    }
+    const auto from = clock_.now() - budget_window;
+    while (!request_times_.empty() && request_times_.front() < from) {
+        request_times_.pop_front();
+    }
+    while (!retry_times_.empty() && retry_times_.front() < from) {
+        retry_times_.pop_front();
+    }
+    const traffic_settings settings;
+    const auto allowed = settings.retry_share * static_cast<double>(request_times_.size()) +
+                         settings.retry_burst;
+    if (static_cast<double>(retry_times_.size()) > allowed) {
+        fault("budget", std::to_string(retry_times_.size()) + " retries in a window");
+    }
+}
+
+void traffic_world::on(start_attempt& e)
+{
+    const auto& request = requests_.at(e.key.exchange);
+    if (request.has_ended) {
+        fault("ends", e.request->id.str() + " is sent after its end");
+    }
+    if (leaving_.contains(e.terms.expected_target)) {
+        fault("drain", e.terms.expected_target.str() + " gets a request while it leaves");
+    }
+    open_attempt it;
+    it.key = e.key;
+    it.target = e.terms.expected_target;
+    it.request_id = e.request->id.str();
+    it.next_event = static_cast<int>(e.terms.resume_after.value_or(0)) + 1;
+    it.last_event = request.length;
+    if (missing_ == missing_protection::events && it.next_event > 1) {
+        ++it.next_event;
+    }
+    attempts_.push_back(it);
+}
+
+void traffic_world::on(cancel_attempt& e)
+{
+    std::erase_if(attempts_, [&](const auto& it) { return it.key == e.key; });
+}
+
+void traffic_world::on(skip_answer&) {}
+
+void traffic_world::on(begin_answer& e)
+{
+    auto& it = requests_.at(e.exchange);
+    if (it.has_begun || it.has_ended) {
+        fault("whole", "two answers to request " + std::to_string(e.exchange.value()));
+    }
+    it.has_begun = true;
+    it.length = e.status == 200 ? it.length : 0;
+}
+
+void traffic_world::on(send_bytes& e)
+{
+    requests_.at(e.exchange).received += e.bytes;
+}
+
+void traffic_world::on(end_answer& e)
+{
+    auto& it = requests_.at(e.exchange);
+    if (it.received != whole_body(it)) {
+        fault("whole", "request " + std::to_string(e.exchange.value()) + " got \"" + it.received +
+                           '"');
+    }
+    end(e.exchange, it);
+}
+
+void traffic_world::on(break_answer& e)
+{
+    auto& it = requests_.at(e.exchange);
+    if (!whole_body(it).starts_with(it.received)) {
+        fault("whole", "request " + std::to_string(e.exchange.value()) + " got other bytes");
+    }
+    end(e.exchange, it);
+}
+
+void traffic_world::on(refuse_request& e)
+{
+    auto& it = requests_.at(e.exchange);
+    if (it.has_begun) {
+        fault("whole", "an error follows the start of an answer");
+    }
+    const bool says_not_run = e.status == 503 || e.status == 429 || e.status == 408;
+    if (says_not_run && it.runs > 0) {
+        fault("not run", "request " + std::to_string(e.exchange.value()) + " has run");
+    }
+    it.said_not_run = says_not_run;
+    end(e.exchange, it);
+}
+
+void traffic_world::end(exchange_number number, seen_request& it)
+{
+    if (it.has_ended) {
+        fault("ends", "request " + std::to_string(number.value()) + " ends twice");
+    }
+    it.has_ended = true;
+    ++ended_;
+}
+
+void traffic_world::fault(const std::string& rule, const std::string& detail)
+{
+    constexpr std::size_t most = 20;
+    if (faults_.size() < most) {
+        faults_.push_back(rule + ": " + detail);
+    }
+}
+
+std::string traffic_world::event_text(int n)
+{
+    return "id: " + std::to_string(n) + "\ndata: " + std::string(static_cast<std::size_t>(n), 'x') +
+           "\n\n";
+}
+
+std::string traffic_world::whole_body(const seen_request& it) const
+{
+    std::string body;
+    for (int n = 1; n <= it.length; ++n) {
+        body += event_text(n);
+    }
+    return body;
+}
+
+} // namespace endivelatch
