Refuse at once what every target would keep waiting beyond its objective

Ruled out: slots (26 to 80 of 64 in flight, but first tokens late from 26 on), store, callers. Change: a target's wait is what requests at least as urgent wait already or have waited lately; when the best target's wait passes a share of the objective, less for less urgent priorities, the request is refused with the time in which the queues drain.

--- a/include/endivelatch/traffic/target_choice.hpp
+++ b/include/endivelatch/traffic/target_choice.hpp
@@ -15,6 +15,8 @@
 struct choice_query {
     pool_id pool;
     const prompt_facts* prompt = nullptr; ///< Null for plain services.
+    std::uint32_t priority = 0;           ///< 0 is the most urgent.
+    duration objective{};                 ///< For the first event of the answer.
     std::uint64_t request_hash = 0;       ///< Breaks ties.
     domain_id domain;                     ///< Of this router.
     std::uint32_t routers = 1;            ///< Live routers, this one included.
@@ -29,6 +31,7 @@
     double mean_in_flight = 0;       ///< Of the pool.
     double cost_ms = 0;              ///< Expected wait for the first token, or for a slot.
     std::uint32_t unread_tokens = 0; ///< Prompt tokens that are probably not cached there.
+    duration wait{};                 ///< Expected before the prompt is read.
     bool is_home = false;            ///< First in the rendezvous order of the prompt.
     /// Target that probably has the shared parts which the chosen one has not.
     std::optional<endpoint> fetch_from;
@@ -39,6 +42,7 @@
     none_registered, ///< The pool has no target that takes requests.
     all_tried,       ///< The request has been sent to each of them.
     all_full,        ///< Each is at its bound.
+    all_late,        ///< None would begin to answer in time.
 };
 
 /// Returns the reason as written in logs, such as `all_full`.
@@ -46,8 +50,6 @@
 
 using choice = std::variant<chosen_target, no_target_reason>;
 
-/// Prompt tokens that an engine reads in a millisecond, as the deployments' sheets state.
-inline constexpr double prompt_tokens_per_ms = 40;
 /// Slowing of an engine by each request that runs on it, in ms to the first token.
 inline constexpr double engine_ms_per_request = 1.5;
 /// Time that a plain service works on a request, in ms; the sheets state 15.
@@ -64,6 +66,15 @@
 /// Shared tokens that a target must lack before they are fetched from another one.
 inline constexpr std::uint32_t least_fetched_tokens = 500;
 
+/// Share of its objective that a request of the most urgent priority may be expected to wait
+/// before it is refused; each further priority may wait less, so that the less urgent yield.
+inline constexpr double most_wait_share = 1.2;
+inline constexpr double wait_share_step = 0.2;
+inline constexpr double least_wait_share = 0.6;
+
+/// Returns how long a request may be expected to wait before it is refused.
+duration wait_bound(duration objective, std::uint32_t priority);
+
 /// Chooses the target with the least expected wait among those below their bound.
 choice choose_target(const choice_query& query, const target_table& table, time_point now);
 
--- a/include/endivelatch/traffic/target_state.hpp
+++ b/include/endivelatch/traffic/target_state.hpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <span>
 #include <unordered_map>
+#include <vector>
 
 namespace endivelatch {
 
@@ -33,6 +34,18 @@
     failed,   ///< No connection, no answer, or a broken one.
 };
 
+/// A request of this router at a target.
+struct sent_request {
+    time_point at{};
+    std::uint32_t priority = 0;      ///< 0 is the most urgent.
+    std::uint32_t unread_tokens = 0; ///< Prompt tokens that the target has to read.
+
+    friend bool operator==(const sent_request&, const sent_request&) = default;
+};
+
+/// Prompt tokens that an engine reads in a millisecond, as the deployments' sheets state.
+inline constexpr double prompt_tokens_per_ms = 40;
+
 /// What this router knows about one target.
 class target_state {
 public:
@@ -50,11 +63,14 @@
     /// Returns the hash that ranks the target for a prompt.
     std::uint64_t hash() const { return hash_; }
 
-    /// Counts a request sent, with the prompt tokens that its target has to read.
-    void sent(std::uint32_t unread_tokens);
+    /// Counts a request sent.
+    void sent(const sent_request& request);
+
+    /// Counts that a request sent got its first bytes: its prompt has been read.
+    void answered(const sent_request& request, time_point now);
 
-    /// Counts that the prompt of a request sent was read: its first event has come.
-    void prompt_read(std::uint32_t unread_tokens);
+    /// Counts that a request sent ended without any bytes.
+    void unanswered(const sent_request& request);
 
     /// Counts that a request sent has ended.
     void ended();
@@ -77,6 +93,10 @@
     /// Prompt tokens of this router's requests that the target has yet to read.
     std::uint64_t unread_tokens() const { return unread_tokens_; }
 
+    /// Returns how long a request of the priority probably waits before its prompt is read: what
+    /// requests at least as urgent have waited lately, or wait already.
+    duration expected_wait(std::uint32_t priority, time_point now) const;
+
     /// Returns the requests of other routers in flight. A report counts less with its age;
     /// `expected` takes its place.
     double others_in_flight(double expected, time_point now) const;
@@ -102,6 +122,8 @@
     /// First time of ejection; doubles with each further one up to the longest.
     static constexpr duration shortest_ejection{1'000'000};
     static constexpr duration longest_ejection{8'000'000};
+    /// Age at which a measured wait no longer counts.
+    static constexpr duration wait_lifetime{1'000'000};
     /// Age at which a failure no longer counts.
     static constexpr duration failure_lifetime{5'000'000};
     /// Time after which a part that nobody asked for is taken as evicted.
@@ -116,6 +138,17 @@
         bool has_failed = false;
     };
 
+    /// A wait before the first bytes that was measured.
+    struct measured_wait {
+        time_point at{};
+        duration wait{};
+    };
+    /// Priorities told apart; less urgent ones count as the last.
+    static constexpr std::size_t priority_count = 10;
+
+    /// Forgets that a request waits for its first bytes; returns whether it did.
+    bool stop_waiting(const sent_request& request);
+
     /// Ejects the target from now on.
     void eject(time_point now);
 
@@ -124,6 +157,8 @@
     time_point known_since_{};
     std::uint32_t own_in_flight_ = 0;
     std::uint64_t unread_tokens_ = 0;
+    std::vector<sent_request> waiting_; ///< Without any bytes of their answers, oldest first.
+    std::array<measured_wait, priority_count> waits_{}; ///< The last of each priority.
     std::optional<target_load> load_;
     std::uint32_t own_at_report_ = 0;
     time_point reported_at_{};
--- a/include/endivelatch/traffic/traffic_router.hpp
+++ b/include/endivelatch/traffic/traffic_router.hpp
@@ -67,6 +67,10 @@
     /// Time after which to return when no target takes the request; targets that refuse are
     /// counted as full for less.
     static constexpr duration full_retry_after{300'000};
+    /// Bounds of the time after which to return when all targets are late: twice the expected wait,
+    /// in which the queues drain while others are refused, too.
+    static constexpr duration shortest_late_retry{500'000};
+    static constexpr duration longest_late_retry{2'000'000};
     /// A stopping router takes every request for this long; callers learn within it that the
     /// router has left the entry list.
     static constexpr duration stop_accepts_all{2'500'000};
@@ -79,8 +83,7 @@
         attempt number;
         target_id target;
         incarnation target_start;
-        time_point sent_at{};
-        std::uint32_t unread_tokens = 0;
+        sent_request sent;
         bool is_answering = false;  ///< An answer to this request has begun.
         bool has_read_prompt = false; ///< The first bytes of the body have come.
     };
@@ -151,13 +154,15 @@
     void deliver(exchange_number number, exchange& it, std::string&& bytes);
     void begin(exchange_number number, exchange& it, std::optional<std::uint64_t> length);
     void complete(exchange_number number, exchange& it);
-    void give_up(exchange_number number, exchange& it, int status, std::string_view reason);
+    void give_up(exchange_number number, exchange& it, int status, std::string_view reason,
+                 duration retry_after = full_retry_after);
     void finish(exchange_number number, exchange& it, int status, std::string_view outcome,
                 std::string_view reason);
 
     void set_timer(exchange_number number, exchange& it, time_point at);
     exchange_map::iterator find(const exchange_attempt& key);
     target_state* target_of(const exchange& it);
+    duration late_retry_after(const exchange& it) const;
     void log(log_event&& event) { effects_.emplace_back(write_log{std::move(event)}); }
 
     traffic_settings settings_;
--- a/src/traffic/target_choice.cpp
+++ b/src/traffic/target_choice.cpp
@@ -18,6 +18,7 @@
     double in_flight = 0;
     double cost_ms = 0;
     std::uint32_t unread_tokens = 0;
+    duration wait{};
     bool is_home = false;
     std::uint64_t rank = 0; ///< Weight in the rendezvous order.
 };
@@ -82,9 +83,11 @@
         cached = std::max(cached, total_tokens(shared));
     }
     it.unread_tokens = query.prompt->tokens - std::min(cached, query.prompt->tokens);
-    const auto unread = static_cast<double>(it.unread_tokens + it.target->unread_tokens());
-    it.cost_ms = unread / prompt_tokens_per_ms + it.in_flight * engine_ms_per_request +
-                 domain_cost(query, it);
+    it.wait = it.target->expected_wait(query.priority, now);
+    const auto wait_ms = std::chrono::duration<double, std::milli>{it.wait}.count();
+    const auto queued_ms = static_cast<double>(it.target->unread_tokens()) / prompt_tokens_per_ms;
+    it.cost_ms = it.unread_tokens / prompt_tokens_per_ms + std::max(wait_ms, queued_ms) +
+                 it.in_flight * engine_ms_per_request + domain_cost(query, it);
 }
 
 /// Sets the expected wait for a slot, and a small cost for each slot taken.
@@ -187,10 +190,18 @@
         return "all_tried";
     case no_target_reason::all_full:
         return "all_full";
+    case no_target_reason::all_late:
+        return "all_late";
     }
     return "unknown";
 }
 
+duration wait_bound(duration objective, std::uint32_t priority)
+{
+    const auto share = std::max(most_wait_share - wait_share_step * priority, least_wait_share);
+    return std::chrono::duration_cast<duration>(objective * share);
+}
+
 choice choose_target(const choice_query& query, const target_table& table, time_point now)
 {
     const auto& targets = table.ready(query.pool);
@@ -230,11 +241,17 @@
     if (best == nullptr) {
         return no_target_reason::all_full;
     }
+    const bool is_first = query.tried == nullptr || query.tried->empty();
+    if (query.prompt != nullptr && is_first &&
+        best->wait > wait_bound(query.objective, query.priority)) {
+        return no_target_reason::all_late;
+    }
     return chosen_target{best->target,
                          best->in_flight,
                          mean,
                          best->cost_ms,
                          best->unread_tokens,
+                         best->wait,
                          best->is_home,
                          fetch_source(query, table, *best, now)};
 }
--- a/src/traffic/target_state.cpp
+++ b/src/traffic/target_state.cpp
@@ -21,16 +21,60 @@
     facts_ = facts;
 }
 
-void target_state::sent(std::uint32_t unread_tokens)
+void target_state::sent(const sent_request& request)
 {
     ++own_in_flight_;
-    unread_tokens_ += unread_tokens;
+    unread_tokens_ += request.unread_tokens;
+    waiting_.push_back(request);
 }
 
-void target_state::prompt_read(std::uint32_t unread_tokens)
+bool target_state::stop_waiting(const sent_request& request)
 {
     // Attempts at an earlier start of the target may end after its counts were reset.
-    unread_tokens_ -= std::min<std::uint64_t>(unread_tokens_, unread_tokens);
+    const auto it = std::find(waiting_.begin(), waiting_.end(), request);
+    if (it == waiting_.end()) {
+        return false;
+    }
+    waiting_.erase(it);
+    unread_tokens_ -= std::min<std::uint64_t>(unread_tokens_, request.unread_tokens);
+    return true;
+}
+
+void target_state::answered(const sent_request& request, time_point now)
+{
+    if (!stop_waiting(request)) {
+        return;
+    }
+    const auto reading = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, std::milli>{request.unread_tokens / prompt_tokens_per_ms});
+    const auto priority = std::min<std::size_t>(request.priority, priority_count - 1);
+    waits_.at(priority) = {now, std::max(now - request.at - reading, duration{})};
+}
+
+void target_state::unanswered(const sent_request& request)
+{
+    stop_waiting(request);
+}
+
+duration target_state::expected_wait(std::uint32_t priority, time_point now) const
+{
+    duration longest{};
+    for (const auto& it : waiting_) {
+        if (it.priority <= priority) {
+            longest = std::max(longest, now - it.at);
+            break; // The oldest comes first.
+        }
+    }
+    for (std::size_t i = 0; i <= std::min<std::size_t>(priority, priority_count - 1); ++i) {
+        const auto& it = waits_.at(i);
+        const auto weight =
+            1.0 - std::chrono::duration<double>{now - it.at} /
+                      std::chrono::duration<double>{wait_lifetime};
+        if (weight > 0) {
+            longest = std::max(longest, std::chrono::duration_cast<duration>(it.wait * weight));
+        }
+    }
+    return longest;
 }
 
 void target_state::ended()
--- a/src/traffic/traffic_answers.cpp
+++ b/src/traffic/traffic_answers.cpp
@@ -125,18 +125,15 @@
 }
 
 void traffic_router::give_up(exchange_number number, exchange& it, int status,
-                             std::string_view reason)
+                             std::string_view reason, duration retry_after)
 {
     if (it.has_begun) {
         effects_.emplace_back(break_answer{number});
         finish(number, it, it.answer->status, "broken_off", reason);
         return;
     }
-    std::optional<duration> retry_after;
-    if (status == 503) {
-        retry_after = full_retry_after;
-    }
-    effects_.emplace_back(refuse_request{number, status, retry_after, std::string{reason}});
+    const auto returns = status == 503 ? std::optional{retry_after} : std::nullopt;
+    effects_.emplace_back(refuse_request{number, status, returns, std::string{reason}});
     finish(number, it, status, status == 503 ? "not_run" : "unknown", reason);
 }
 
@@ -165,10 +162,10 @@
         // unless the route allows it too little time to tell.
         const bool was_silent =
             !it.running->is_answering && outcome != "caller_left" &&
-            now_ - it.running->sent_at >= it.route.latency_objective * silent_after_objectives;
+            now_ - it.running->sent.at >= it.route.latency_objective * silent_after_objectives;
         if (auto* target = target_of(it); target != nullptr) {
             if (!it.running->has_read_prompt) {
-                target->prompt_read(it.running->unread_tokens);
+                target->unanswered(it.running->sent);
             }
             target->ended();
             if (was_silent) {
--- a/src/traffic/traffic_attempts.cpp
+++ b/src/traffic/traffic_attempts.cpp
@@ -23,6 +23,8 @@
     choice_query query;
     query.pool = it.pool;
     query.prompt = it.request->prompt ? &*it.request->prompt : nullptr;
+    query.priority = it.priority;
+    query.objective = it.route.latency_objective;
     query.request_hash = stable_hash(it.request->id.str());
     query.domain = settings_.domain;
     query.routers = routers_;
@@ -36,12 +38,23 @@
                 .add("reason", to_string(*reason))
                 .add("targets", targets_.ready(it.pool).size())
                 .add("revision", targets_revision_));
-        give_up(number, it, it.may_have_run > 0 ? 502 : 503, to_string(*reason));
+        const auto retry_after =
+            *reason == no_target_reason::all_late ? late_retry_after(it) : full_retry_after;
+        give_up(number, it, it.may_have_run > 0 ? 502 : 503, to_string(*reason), retry_after);
         return;
     }
     send(number, it, std::get<chosen_target>(made));
 }
 
+duration traffic_router::late_retry_after(const exchange& it) const
+{
+    duration shortest = longest_late_retry;
+    for (const auto* target : targets_.ready(it.pool)) {
+        shortest = std::min(shortest, target->expected_wait(it.priority, now_));
+    }
+    return std::clamp(shortest * 2, shortest_late_retry, longest_late_retry);
+}
+
 void traffic_router::send(exchange_number number, exchange& it, const chosen_target& chosen)
 {
     auto& target = *chosen.target;
@@ -51,8 +64,7 @@
     running.number = it.last_attempt;
     running.target = facts.id;
     running.target_start = facts.started;
-    running.sent_at = now_;
-    running.unread_tokens = chosen.unread_tokens;
+    running.sent = {now_, it.priority, chosen.unread_tokens};
     it.running = running;
     it.tried.insert(facts.id);
     ++it.sends;
@@ -69,11 +81,12 @@
             .add("mean", tenths(chosen.mean_in_flight))
             .add("unread_tokens", chosen.unread_tokens)
             .add("fetch", chosen.fetch_from ? chosen.fetch_from->address : "")
+            .add("wait_ms", chosen.wait.count() / 1'000)
             .add("cost_ms", tenths(chosen.cost_ms))
             .add("load_age_ms", age ? age->count() / 1'000 : -1)
             .add("config", configuration_->version().value())
             .add("revision", targets_revision_));
-    target.sent(chosen.unread_tokens);
+    target.sent(running.sent);
     if (it.request->prompt) {
         target.remember(it.request->prompt->parts, now_);
     }
@@ -107,7 +120,7 @@
     auto* target = target_of(it);
     if (target != nullptr) {
         if (!it.running->has_read_prompt) {
-            target->prompt_read(it.running->unread_tokens);
+            target->unanswered(it.running->sent);
         }
         target->ended();
         target->note(outcome, now_);
--- a/src/traffic/traffic_router.cpp
+++ b/src/traffic/traffic_router.cpp
@@ -124,7 +124,7 @@
     if (!running.has_read_prompt) {
         running.has_read_prompt = true;
         if (auto* target = target_of(it->second); target != nullptr) {
-            target->prompt_read(running.unread_tokens);
+            target->answered(running.sent, now_);
         }
     }
     take_bytes(e.key.exchange, it->second, std::move(e.bytes));
--- a/tests/traffic/target_choice_test.cpp
+++ b/tests/traffic/target_choice_test.cpp
@@ -24,6 +24,7 @@
         prompt.parts = {{1, 2'500}, {2, 6'000}, {3, 500}};
         query.pool = pool_id{"pool"};
         query.domain = domain_id{"odd"};
+        query.objective = std::chrono::milliseconds{500};
     }
 
     chosen_target choose() const
@@ -56,11 +57,14 @@
 {
     query.prompt = &prompt;
     auto* home = choose().target;
-    home->sent(2'000);
+    const sent_request small{clock.now(), 0, 2'000};
+    const sent_request large{clock.now(), 0, 8'000};
+    home->sent(small);
     EXPECT_EQ(choose().target, home);
-    home->sent(8'000);
+    home->sent(large);
     EXPECT_NE(choose().target, home);
-    home->prompt_read(10'000);
+    home->answered(small, clock.now());
+    home->answered(large, clock.now());
     home->ended();
     home->ended();
     EXPECT_EQ(choose().target, home);
@@ -69,7 +73,7 @@
 TEST_F(choice_fixture, a_target_that_has_read_the_prompt_takes_the_next_spill)
 {
     query.prompt = &prompt;
-    choose().target->sent(30'000);
+    choose().target->sent({clock.now(), 0, 30'000});
     auto* spill = choose().target;
     spill->remember(prompt.parts, clock.now());
     EXPECT_EQ(choose().target, spill);
@@ -83,7 +87,7 @@
     query.prompt = &prompt;
     auto* home = choose().target;
     EXPECT_FALSE(choose().fetch_from);
-    home->sent(20'000);
+    home->sent({clock.now(), 0, 20'000});
     const auto spilled = choose();
     ASSERT_NE(spilled.target, home);
     EXPECT_EQ(spilled.fetch_from, home->facts().address);
@@ -112,7 +116,7 @@
     std::map<target_id, std::uint32_t> counts;
     for (int i = 0; i < 160; ++i) {
         auto* chosen = choose().target;
-        chosen->sent(0);
+        chosen->sent({clock.now(), 0, 0});
         ++counts[chosen->facts().id];
     }
     for (const auto& [id, n] : counts) {
@@ -126,7 +130,7 @@
     for (std::uint64_t i = 0; i < 16; ++i) {
         query.request_hash = mix_bits(i);
         auto* chosen = choose().target;
-        chosen->sent(0);
+        chosen->sent({clock.now(), 0, 0});
         ++counts[chosen->facts().id];
     }
     for (const auto& [id, n] : counts) {
@@ -151,7 +155,7 @@
 
 TEST_F(choice_fixture, a_new_start_of_a_target_forgets_what_was_learned)
 {
-    target(1).sent(100);
+    target(1).sent({clock.now(), 0, 100});
     target(1).remember(prompt.parts, clock.now());
     auto again = target(1).facts();
     again.started = incarnation{5};
@@ -162,6 +166,42 @@
     EXPECT_EQ(table.size(), 1U);
 }
 
+TEST_F(choice_fixture, the_wait_is_what_requests_as_urgent_wait_or_have_waited)
+{
+    using std::chrono::milliseconds;
+    const sent_request urgent{clock.now(), 0, 0};
+    const sent_request later{clock.now(), 5, 0};
+    target(1).sent(urgent);
+    target(1).sent(later);
+    clock.advance(milliseconds{100});
+    EXPECT_EQ(target(1).expected_wait(0, clock.now()), milliseconds{100});
+    target(1).answered(urgent, clock.now());
+    clock.advance(milliseconds{400});
+    EXPECT_EQ(target(1).expected_wait(9, clock.now()), milliseconds{500});
+    EXPECT_LT(target(1).expected_wait(0, clock.now()), milliseconds{100});
+    target(1).unanswered(later);
+    clock.advance(target_state::wait_lifetime);
+    EXPECT_EQ(target(1).expected_wait(9, clock.now()), duration{});
+}
+
+TEST_F(choice_fixture, a_request_that_all_targets_would_keep_waiting_is_refused_at_once)
+{
+    query.prompt = &prompt;
+    for (int n = 1; n <= 8; ++n) {
+        target(n).sent({clock.now(), 0, 0});
+    }
+    clock.advance(std::chrono::milliseconds{550});
+    query.priority = 0;
+    EXPECT_TRUE(std::holds_alternative<chosen_target>(choose_target(query, table, clock.now())));
+    query.priority = 2; // The less urgent yield first.
+    EXPECT_EQ(std::get<no_target_reason>(choose_target(query, table, clock.now())),
+              no_target_reason::all_late);
+    clock.advance(std::chrono::milliseconds{100});
+    query.priority = 0;
+    EXPECT_EQ(std::get<no_target_reason>(choose_target(query, table, clock.now())),
+              no_target_reason::all_late);
+}
+
 TEST_F(choice_fixture, says_why_there_is_no_target)
 {
     query.pool = pool_id{"other"};
