--- a/src/traffic/target_choice.cpp
+++ b/src/traffic/target_choice.cpp
@@ -113,9 +113,25 @@
            it.in_flight < slots * (1 + service_queue_share);
 }
 
-/// Orders by cost; equal ones by the rendezvous order.
-bool is_better(const candidate& a, const candidate& b)
+/// Returns whether the first event is expected well before the objective.
+bool is_comfortable(const choice_query& query, const candidate& it)
 {
+    const auto objective = std::chrono::duration<double, std::milli>{query.objective}.count();
+    return query.prompt != nullptr && it.cost_ms < objective * comfortable_share;
+}
+
+/// Orders targets that answer well in time by what they have to read, since an earlier answer is
+/// worth nothing and reading costs others their time; the others by cost. Equal ones follow the
+/// rendezvous order.
+bool is_better(const choice_query& query, const candidate& a, const candidate& b)
+{
+    const bool a_comfortable = is_comfortable(query, a);
+    if (a_comfortable != is_comfortable(query, b)) {
+        return a_comfortable;
+    }
+    if (a_comfortable && a.unread_tokens != b.unread_tokens) {
+        return a.unread_tokens < b.unread_tokens;
+    }
     return a.cost_ms < b.cost_ms || (a.cost_ms == b.cost_ms && a.rank > b.rank);
 }
 
@@ -226,7 +242,7 @@
         }
         query.prompt != nullptr ? estimate_engine(query, it, now) : estimate_service(query, it);
         if (is_below_bound(query, it, mean, now)) {
-            best = best == nullptr || is_better(it, *best) ? &it : best;
+            best = best == nullptr || is_better(query, it, *best) ? &it : best;
         }
         else if (!it.target->is_full(now)) {
             fallback = fallback == nullptr || it.in_flight < fallback->in_flight ? &it : fallback;
