--- a/include/endivelatch/entry/connection_pool.hpp
+++ b/include/endivelatch/entry/connection_pool.hpp
@@ -69,8 +69,9 @@
     /// Returns the number of open connections.
     std::size_t connections() const { return connections_.size(); }
 
-    /// Longest wait for a connection; a lost opening packet is sent again after one second.
-    static constexpr duration connect_timeout{400'000};
+    /// Longest wait for a connection, a hundred times the way there and back between failure
+    /// domains. A lost opening packet is sent again only after one second.
+    static constexpr duration connect_timeout{200'000};
     /// Silence after which a connection counts as dead.
     static constexpr duration silence_limit{3'000'000};
     /// Idle time of a connection whose peer does not state its own.
@@ -81,7 +82,7 @@
     /// whether they have run.
     static constexpr double unsafe_idle_time_use = 0.4;
     /// Time between two looks for connections that are idle for too long.
-    static constexpr duration expiry_interval{200'000};
+    static constexpr duration expiry_interval{500'000};
 
 private:
     struct connection;
@@ -98,6 +99,7 @@
     void release(connection& it);
     void drop(connection& it);
     void expire();
+    void check_at(time_point when);
 
     event_loop* loop_;
     connection_pool_callbacks callbacks_;
@@ -108,6 +110,7 @@
     std::uint64_t last_request_ = 0;
     std::uint64_t opened_ = 0;
     timer expiry_;
+    time_point next_check_{};
 };
 
 } // namespace endivelatch
--- a/include/endivelatch/entry/entry_process_life.ipp
+++ b/include/endivelatch/entry/entry_process_life.ipp
@@ -74,7 +74,11 @@
              settings,
              incarnation{static_cast<std::uint64_t>(
                  std::chrono::system_clock::now().time_since_epoch() / duration{1'000})},
-             {[this] { deliver(fleet_changed{fleet_.live_count()}); },
+             {[this] {
+                  deliver(fleet_changed{fleet_.live_count()});
+                  configuration_.peers_changed();
+                  registrations_.peers_changed();
+              },
               [this](object_kind kind, const member& holder, store_revision revision) {
                   copy_of(kind).take_from(holder.link, revision);
               },
--- a/include/endivelatch/entry/mirror_client.hpp
+++ b/include/endivelatch/entry/mirror_client.hpp
@@ -67,6 +67,14 @@
         }
     }
 
+    /// Asks a router for its copy, if there is none yet: at a start while the store is away.
+    void peers_changed()
+    {
+        if (!mirror_.is_known()) {
+            watch_peer();
+        }
+    }
+
     /// Returns the copy as it is passed to other routers.
     std::string to_page() const
     {
@@ -81,7 +89,7 @@
     /// Longest wait for a list or a copy; the store answers in milliseconds when it is well.
     static constexpr duration list_timeout{1'500'000};
     /// Time beyond its wait after which a watch counts as lost.
-    static constexpr duration watch_slack{1'000'000};
+    static constexpr duration watch_slack{800'000};
     /// Time that the store's watch has to bring a change that a peer already holds.
     static constexpr duration peer_delay{400'000};
     /// Longest wait of a peer for a newer copy; then another peer is asked.
--- a/include/endivelatch/traffic/target_state.hpp
+++ b/include/endivelatch/traffic/target_state.hpp
@@ -29,9 +29,10 @@
 
 /// How an attempt at a target went, for the estimate of its health.
 enum class attempt_outcome {
-    answered, ///< A whole answer, of whatever status.
-    refused,  ///< The target stated that it did not run the request.
-    failed,   ///< No connection, no answer, or a broken one.
+    answered,    ///< A whole answer, of whatever status.
+    refused,     ///< The target stated that it did not run the request.
+    failed,      ///< No answer, or a broken one.
+    unreachable, ///< No connection, or another target at the address.
 };
 
 /// A request of this router at a target.
--- a/src/entry/connection_pool.cpp
+++ b/src/entry/connection_pool.cpp
@@ -56,7 +56,7 @@
 connection_pool::connection_pool(event_loop& loop, connection_pool_callbacks callbacks)
     : loop_{&loop}, callbacks_{std::move(callbacks)}, expiry_{loop, [this] { expire(); }}
 {
-    expiry_.start(expiry_interval);
+    check_at(loop.now() + expiry_interval);
 }
 
 connection_pool::~connection_pool() = default;
@@ -127,6 +127,7 @@
     set_answer_deadline(it);
     if (!it.is_open) {
         it.deadline = loop_->now() + connect_timeout;
+        check_at(it.deadline);
     }
     it.reader->next(request.is_head);
     requests_.emplace(it.request, &it);
@@ -290,18 +291,32 @@
     }
 }
 
+void connection_pool::check_at(time_point when)
+{
+    if (expiry_.is_active() && next_check_ <= when) {
+        return;
+    }
+    next_check_ = when;
+    expiry_.start(std::max(when - loop_->now(), duration{}));
+}
+
 void connection_pool::expire()
 {
-    expiry_.start(expiry_interval);
     const auto now = loop_->now();
+    check_at(now + expiry_interval);
     std::vector<connection*> idle;
     std::vector<connection*> late;
     for (const auto& [number, it] : connections_) {
         if (!it->is_busy && now - it->idle_since > share_of(it->idle_time, idle_time_use)) {
             idle.push_back(it.get());
         }
-        if (it->is_busy && it->deadline != time_point{} && now >= it->deadline) {
-            late.push_back(it.get());
+        if (it->is_busy && it->deadline != time_point{}) {
+            if (now >= it->deadline) {
+                late.push_back(it.get());
+            }
+            else {
+                check_at(it->deadline);
+            }
         }
     }
     for (auto* it : idle) {
--- a/src/mirror/object_mirror.cpp
+++ b/src/mirror/object_mirror.cpp
@@ -32,7 +32,8 @@
 {
     retry_at_.reset();
     lists_next_ = false;
-    effects.emplace_back(watch_objects{revision_, settings_.watch_wait});
+    const auto wait = is_connected_ ? settings_.watch_wait : settings_.probing_wait;
+    effects.emplace_back(watch_objects{revision_, wait});
     return std::move(effects);
 }
 
--- a/src/traffic/target_state.cpp
+++ b/src/traffic/target_state.cpp
@@ -95,13 +95,14 @@
         full_until_ = now + full_time;
         return;
     }
-    const bool has_failed = outcome == attempt_outcome::failed;
+    const bool is_unreachable = outcome == attempt_outcome::unreachable;
+    const bool has_failed = outcome == attempt_outcome::failed || is_unreachable;
     outcomes_.at(outcome_index_) = {now, has_failed};
     outcome_index_ = (outcome_index_ + 1) % outcome_count;
     const auto failures = std::count_if(outcomes_.begin(), outcomes_.end(), [&](const auto& it) {
         return it.has_failed && now - it.at < failure_lifetime;
     });
-    if (has_failed && failures >= ejecting_failures) {
+    if (is_unreachable || (has_failed && failures >= ejecting_failures)) {
         eject(now);
     }
     if (failures == 0) {
@@ -111,6 +112,9 @@
 
 void target_state::eject(time_point now)
 {
+    if (is_ejected(now)) {
+        return; // By an attempt that began before.
+    }
     ejected_until_ = now + next_ejection_;
     next_ejection_ = std::min(next_ejection_ * 2, longest_ejection);
 }
--- a/src/traffic/traffic_answers.cpp
+++ b/src/traffic/traffic_answers.cpp
@@ -17,7 +17,7 @@
     effects_.emplace_back(cancel_attempt{{number, it.running->number}});
     // 421 comes from another target at the same address: the expected one is gone.
     const bool is_gone = answer.status == 421;
-    attempt_over(it, is_gone ? attempt_outcome::failed : attempt_outcome::refused);
+    attempt_over(it, is_gone ? attempt_outcome::unreachable : attempt_outcome::refused);
     after_failure(number, it, true, "refused by the target");
 }
 
--- a/src/traffic/traffic_attempts.cpp
+++ b/src/traffic/traffic_attempts.cpp
@@ -123,8 +123,9 @@
             target->unanswered(it.running->sent);
         }
         target->ended();
+        const bool was_ejected = target->is_ejected(now_);
         target->note(outcome, now_);
-        if (target->is_ejected(now_) && outcome == attempt_outcome::failed) {
+        if (target->is_ejected(now_) && !was_ejected) {
             metrics_.add("ejections");
             log(log_event{"target_ejected"}.add("target", it.running->target));
         }
--- a/src/traffic/traffic_router.cpp
+++ b/src/traffic/traffic_router.cpp
@@ -77,7 +77,8 @@
         --it->second.sends;
         --it->second.may_have_run;
     }
-    attempt_over(it->second, attempt_outcome::failed);
+    attempt_over(it->second,
+                 was_not_sent ? attempt_outcome::unreachable : attempt_outcome::failed);
     after_failure(e.key.exchange, it->second, was_not_sent, e.reason);
 }
 
--- a/tests/mirror/object_mirror_test.cpp
+++ b/tests/mirror/object_mirror_test.cpp
@@ -93,6 +93,19 @@
     EXPECT_GE(last, milliseconds{750});
 }
 
+TEST_F(mirror_fixture, a_lost_store_is_asked_with_short_waits_until_it_answers)
+{
+    auto effects = mirror.take(page({}, 5), clock.now());
+    EXPECT_GE(find_effect<watch_objects>(effects)->wait, seconds{1});
+    mirror.call_failed(clock.now());
+    clock.advance(seconds{1});
+    effects = mirror.tick(clock.now());
+    ASSERT_NE(find_effect<watch_objects>(effects), nullptr);
+    EXPECT_LE(find_effect<watch_objects>(effects)->wait, milliseconds{200});
+    effects = mirror.take(object_changes{{}, store_revision{5}}, clock.now());
+    EXPECT_GE(find_effect<watch_objects>(effects)->wait, seconds{1});
+}
+
 TEST_F(mirror_fixture, keeps_expired_objects_for_a_while_after_an_outage)
 {
     mirror.take(page({object("a", 1), object("b", 2)}, 5), clock.now());
--- a/tests/traffic/target_choice_test.cpp
+++ b/tests/traffic/target_choice_test.cpp
@@ -153,6 +153,18 @@
     EXPECT_FALSE(target(1).is_ejected(clock.now()));
 }
 
+TEST_F(choice_fixture, a_target_that_cannot_be_reached_is_left_out_at_once)
+{
+    target(1).note(attempt_outcome::unreachable, clock.now());
+    EXPECT_TRUE(target(1).is_ejected(clock.now()));
+    target(1).note(attempt_outcome::unreachable, clock.now()); // Began before; adds nothing.
+    clock.advance(target_state::shortest_ejection);
+    EXPECT_FALSE(target(1).is_ejected(clock.now()));
+    target(1).note(attempt_outcome::unreachable, clock.now());
+    clock.advance(target_state::shortest_ejection);
+    EXPECT_TRUE(target(1).is_ejected(clock.now()));
+}
+
 TEST_F(choice_fixture, a_new_start_of_a_target_forgets_what_was_learned)
 {
     target(1).sent({clock.now(), 0, 100});
