--- a/include/endivelatch/entry/connection_pool.hpp
+++ b/include/endivelatch/entry/connection_pool.hpp
@@ -31,10 +31,10 @@
 /// A request to be sent.
 struct outgoing_request {
     endpoint to;
-    std::string bytes;              ///< Head and body.
-    bool is_idempotent = false;     ///< May be sent on a connection that has been idle for long.
-    bool is_head = false;           ///< The answer has no body.
-    duration timeout{};             ///< Until the whole answer; zero for none.
+    std::string bytes;          ///< Head and body.
+    bool is_idempotent = false; ///< May be sent on a connection that has been idle for long.
+    bool is_head = false;       ///< The answer has no body.
+    duration timeout{};         ///< Until the whole answer; zero for none.
 };
 
 /// Sends HTTP/1.1 requests over kept connections, one request at a time on each. A request is
--- a/include/endivelatch/entry/entry_process.hpp
+++ b/include/endivelatch/entry/entry_process.hpp
@@ -129,7 +129,7 @@
         time_point until{};
     };
     std::map<exchange_number, copy_waiter> copy_waiters_;
-    std::map<std::string, store_revision> unreadable_;        ///< Registrations already reported.
+    std::map<std::string, store_revision> unreadable_; ///< Registrations already reported.
     bool was_ready_ = false;
     bool is_stopping_ = false;
     time_point stop_began_{};
--- a/include/endivelatch/entry/entry_settings.hpp
+++ b/include/endivelatch/entry/entry_settings.hpp
@@ -12,10 +12,10 @@
 
 /// Bounds of the deployment; they may change while the process runs.
 struct entry_bounds {
-    double retry_share = 0.2;          ///< Retries of the fleet per request.
-    double retry_burst = 10;           ///< Retries of the fleet without any request.
-    double load_bound = 2;             ///< Highest load of a target over the mean of its pool.
-    duration stop_grace{8'000'000};    ///< From the stop signal until the process is killed.
+    double retry_share = 0.2;           ///< Retries of the fleet per request.
+    double retry_burst = 10;            ///< Retries of the fleet without any request.
+    double load_bound = 2;              ///< Highest load of a target over the mean of its pool.
+    duration stop_grace{8'000'000};     ///< From the stop signal until the process is killed.
     duration entry_lifetime{1'000'000}; ///< How long callers may keep a list of entry addresses.
 
     friend bool operator==(const entry_bounds&, const entry_bounds&) = default;
@@ -26,7 +26,7 @@
     router_id id;
     domain_id domain;
     region_id region;
-    endpoint requests;                ///< For callers.
+    endpoint requests;                 ///< For callers.
     std::optional<endpoint> readiness; ///< For the platform's question whether it is ready.
     std::optional<endpoint> entries;   ///< For callers that ask for entry addresses.
     endpoint peers;                    ///< For other routers (TCP).
--- a/include/endivelatch/entry/mirror_client.hpp
+++ b/include/endivelatch/entry/mirror_client.hpp
@@ -116,9 +116,8 @@
 
     void list(const list_objects& e)
     {
-        send(Protocol::list_call(kind_, e.after), list_timeout, [this](const std::string& body) {
-            return take(Protocol::read_page(body));
-        });
+        send(Protocol::list_call(kind_, e.after), list_timeout,
+             [this](const std::string& body) { return take(Protocol::read_page(body)); });
     }
 
     void watch(const watch_objects& e)
@@ -130,27 +129,26 @@
     template <class Take>
     void send(const store_call& call, duration timeout, Take take_body)
     {
-        call_ = calls_->call(
-            {store_, call.method, call.target, call.body, timeout},
-            [this, take_body](call_outcome&& outcome) {
-                call_.reset();
-                if (const auto* failure = std::get_if<call_failed>(&outcome)) {
-                    note_failure(failure->reason);
-                    return;
-                }
-                const auto& reply = std::get<call_reply>(outcome);
-                if (reply.status == history_gone_status) {
-                    log("store_history_gone", "");
-                    apply(mirror_.history_gone(now()));
-                }
-                else if (reply.status != ok_status) {
-                    note_failure("status " + std::to_string(reply.status));
-                }
-                else {
-                    note_success();
-                    apply(take_body(reply.body));
-                }
-            });
+        call_ = calls_->call({store_, call.method, call.target, call.body, timeout},
+                             [this, take_body](call_outcome&& outcome) {
+                                 call_.reset();
+                                 if (const auto* failure = std::get_if<call_failed>(&outcome)) {
+                                     note_failure(failure->reason);
+                                     return;
+                                 }
+                                 const auto& reply = std::get<call_reply>(outcome);
+                                 if (reply.status == history_gone_status) {
+                                     log("store_history_gone", "");
+                                     apply(mirror_.history_gone(now()));
+                                 }
+                                 else if (reply.status != ok_status) {
+                                     note_failure("status " + std::to_string(reply.status));
+                                 }
+                                 else {
+                                     note_success();
+                                     apply(take_body(reply.body));
+                                 }
+                             });
     }
 
     template <class T>
@@ -212,7 +210,10 @@
         is_asking_peer_ = true;
         // Only a copy asked for beside a working watch tells that the watch is silent.
         const bool was_connected = mirror_.is_connected();
-        calls_->call({peer, "GET", write_copy_query({kind_, mirror_.revision()}), {},
+        calls_->call({peer,
+                      "GET",
+                      write_copy_query({kind_, mirror_.revision()}),
+                      {},
                       peer_wait + watch_slack},
                      [this, peer, was_connected](call_outcome&& outcome) {
                          is_asking_peer_ = false;
--- a/include/endivelatch/mirror/object_mirror.hpp
+++ b/include/endivelatch/mirror/object_mirror.hpp
@@ -58,8 +58,7 @@
 };
 
 /// The copy has changed.
-struct mirror_updated {
-};
+struct mirror_updated {};
 
 using mirror_effect = std::variant<list_objects, watch_objects, mirror_updated>;
 using mirror_effects = std::vector<mirror_effect>;
@@ -69,7 +68,7 @@
     duration watch_wait{5'000'000}; ///< Each watch is a priced call; keep-alives find dead ones.
     /// Wait of the watches after a failed call: a store that is back is noticed within it.
     duration probing_wait{200'000};
-    duration first_retry{100'000};   ///< After a failed call; doubles up to the longest.
+    duration first_retry{100'000}; ///< After a failed call; doubles up to the longest.
     duration longest_retry{1'000'000};
     /// Objects missing right after calls have failed for this long may come back.
     duration outage{1'000'000};
@@ -138,7 +137,7 @@
     store_revision revision_;
     time_point answered_at_{};
     std::optional<time_point> failed_since_; ///< First of the calls that failed in a row.
-    time_point restored_at_{}; ///< When the platform answered again after an outage.
+    time_point restored_at_{};               ///< When the platform answered again after an outage.
     std::optional<time_point> retry_at_;
     duration next_retry_{};
     bool is_known_ = false;
--- a/include/endivelatch/net/http_client.hpp
+++ b/include/endivelatch/net/http_client.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "endivelatch/base/strong_id.hpp"
-#include "endivelatch/net/event_loop.hpp"
 #include "endivelatch/http1/http_header.hpp"
+#include "endivelatch/net/event_loop.hpp"
 #include "endivelatch/net/timer.hpp"
 #include "endivelatch/wire/message.hpp"
 
--- a/include/endivelatch/net/http_server.hpp
+++ b/include/endivelatch/net/http_server.hpp
@@ -2,9 +2,9 @@
 
 #include "endivelatch/base/result.hpp"
 #include "endivelatch/base/strong_id.hpp"
+#include "endivelatch/http1/http_header.hpp"
 #include "endivelatch/membership/member.hpp"
 #include "endivelatch/net/event_loop.hpp"
-#include "endivelatch/http1/http_header.hpp"
 #include "endivelatch/net/timer.hpp"
 #include "endivelatch/wire/message.hpp"
 
--- a/include/endivelatch/traffic/request.hpp
+++ b/include/endivelatch/traffic/request.hpp
@@ -46,21 +46,18 @@
 struct caller_request {
     caller_attempt_id id;
     std::string method;
-    std::string target; ///< Path and query, unchanged.
-    std::string host;   ///< Without port, in lowercase.
+    std::string target;   ///< Path and query, unchanged.
+    std::string host;     ///< Without port, in lowercase.
     http_headers headers; ///< Those passed on: neither per connection nor set by the router.
     std::string body;
-    bool has_body = false; ///< A body was announced, perhaps an empty one.
+    bool has_body = false;            ///< A body was announced, perhaps an empty one.
     std::optional<duration> patience; ///< How long the caller waits, from its arrival.
     std::optional<std::string> api_key;
     std::optional<prompt_facts> prompt;
     std::optional<std::uint64_t> last_event_id; ///< The stream goes on after this event.
 
     /// Returns the path without the query.
-    std::string_view path() const
-    {
-        return std::string_view{target}.substr(0, target.find('?'));
-    }
+    std::string_view path() const { return std::string_view{target}.substr(0, target.find('?')); }
 };
 
 /// Load that a target reports about itself.
@@ -73,9 +70,9 @@
 /// The head of a target's answer.
 struct target_answer {
     int status = 0;
-    http_headers headers;     ///< Those passed on to the caller.
-    caller_attempt_id answers; ///< The try that this answers; empty when it does not say.
-    bool is_signed = false;    ///< Carries the target's proof that the answer is its own.
+    http_headers headers;        ///< Those passed on to the caller.
+    caller_attempt_id answers;   ///< The try that this answers; empty when it does not say.
+    bool is_signed = false;      ///< Carries the target's proof that the answer is its own.
     bool states_not_run = false; ///< The target states that it did not run the request.
     std::optional<target_load> load;
     std::optional<std::uint64_t> length; ///< Bytes of the body, when known beforehand.
@@ -87,9 +84,9 @@
 /// What the router adds to a request for one attempt at a target.
 struct attempt_terms {
     target_id expected_target;
-    organisation_id organisation; ///< Empty on routes without keys.
-    duration time_left{};         ///< The target stops work after it.
-    std::optional<std::uint32_t> priority; ///< 0 is the most urgent; only for model requests.
+    organisation_id organisation;              ///< Empty on routes without keys.
+    duration time_left{};                      ///< The target stops work after it.
+    std::optional<std::uint32_t> priority;     ///< 0 is the most urgent; only for model requests.
     std::optional<std::uint64_t> resume_after; ///< Last event that the caller has.
     /// Target that probably has cached parts of the prompt that this one lacks.
     std::optional<endpoint> fetch_from;
--- a/include/endivelatch/traffic/target_choice.hpp
+++ b/include/endivelatch/traffic/target_choice.hpp
@@ -14,13 +14,13 @@
 /// What a choice depends on besides the targets.
 struct choice_query {
     pool_id pool;
-    const prompt_facts* prompt = nullptr; ///< Null for plain services.
-    std::uint32_t priority = 0;           ///< 0 is the most urgent.
-    duration objective{};                 ///< For the first event of the answer.
-    std::uint64_t request_hash = 0;       ///< Breaks ties.
-    domain_id domain;                     ///< Of this router.
-    std::uint32_t routers = 1;            ///< Live routers, this one included.
-    double load_bound = 2;                ///< Highest load of a target over the mean.
+    const prompt_facts* prompt = nullptr;       ///< Null for plain services.
+    std::uint32_t priority = 0;                 ///< 0 is the most urgent.
+    duration objective{};                       ///< For the first event of the answer.
+    std::uint64_t request_hash = 0;             ///< Breaks ties.
+    domain_id domain;                           ///< Of this router.
+    std::uint32_t routers = 1;                  ///< Live routers, this one included.
+    double load_bound = 2;                      ///< Highest load of a target over the mean.
     const std::set<target_id>* tried = nullptr; ///< Targets that this request has been sent to.
 };
 
--- a/include/endivelatch/traffic/target_state.hpp
+++ b/include/endivelatch/traffic/target_state.hpp
@@ -21,8 +21,8 @@
     endpoint address;
     domain_id domain;
     std::uint32_t slots = 0;
-    bool is_leaving = false;  ///< Finishes its requests and takes no new ones.
-    incarnation started;      ///< Changes with each start, also under the same id.
+    bool is_leaving = false; ///< Finishes its requests and takes no new ones.
+    incarnation started;     ///< Changes with each start, also under the same id.
 
     friend bool operator==(const registered_target&, const registered_target&) = default;
 };
--- a/include/endivelatch/traffic/traffic_event.hpp
+++ b/include/endivelatch/traffic/traffic_event.hpp
@@ -89,13 +89,11 @@
 };
 
 /// The time of `next_timer` has come.
-struct timer_due {
-};
+struct timer_due {};
 
-using traffic_event =
-    std::variant<request_arrived, caller_left, attempt_broken, answer_begun, answer_bytes,
-                 answer_finished, configuration_changed, targets_changed, fleet_changed,
-                 stop_announced, timer_due>;
+using traffic_event = std::variant<request_arrived, caller_left, attempt_broken, answer_begun,
+                                   answer_bytes, answer_finished, configuration_changed,
+                                   targets_changed, fleet_changed, stop_announced, timer_due>;
 
 /// Send the request to a target.
 struct start_attempt {
@@ -154,8 +152,9 @@
     log_event event;
 };
 
-using traffic_effect = std::variant<start_attempt, cancel_attempt, skip_answer, begin_answer,
-                                    send_bytes, end_answer, break_answer, refuse_request, write_log>;
+using traffic_effect =
+    std::variant<start_attempt, cancel_attempt, skip_answer, begin_answer, send_bytes, end_answer,
+                 break_answer, refuse_request, write_log>;
 using traffic_effects = std::vector<traffic_effect>;
 
 } // namespace endivelatch
--- a/include/endivelatch/traffic/traffic_router.hpp
+++ b/include/endivelatch/traffic/traffic_router.hpp
@@ -16,7 +16,7 @@
 
 /// Bounds that the traffic router keeps.
 struct traffic_settings {
-    domain_id domain;        ///< Of this router.
+    domain_id domain;         ///< Of this router.
     double retry_share = 0.2; ///< Retries of the fleet per request.
     double retry_burst = 10;  ///< Retries of the fleet without any request.
     double load_bound = 2;    ///< Highest load of a target over the mean of its pool.
@@ -84,7 +84,7 @@
         target_id target;
         incarnation target_start;
         sent_request sent;
-        bool is_answering = false;  ///< An answer to this request has begun.
+        bool is_answering = false;    ///< An answer to this request has begun.
         bool has_read_prompt = false; ///< The first bytes of the body have come.
     };
 
@@ -100,7 +100,7 @@
         time_point expires_at{};
         time_point timer_at{};
         std::set<target_id> tried;
-        std::uint32_t sends = 0;    ///< Attempts whose bytes may have left.
+        std::uint32_t sends = 0;        ///< Attempts whose bytes may have left.
         std::uint32_t may_have_run = 0; ///< Targets that may have run the request.
         attempt last_attempt;
         std::optional<running_attempt> running;
--- a/src/endivelatch/main.cpp
+++ b/src/endivelatch/main.cpp
@@ -31,9 +31,9 @@
 const std::map<std::string, command_function>& commands()
 {
     static const std::map<std::string, command_function> all{
-        {"serve", endivelatch::run_serve},   {"router", endivelatch::run_router}, {"admin", endivelatch::run_admin},
-        {"entry", endivelatch::run_entry},   {"timeline", endivelatch::run_timeline},
-        {"check", endivelatch::run_check},
+        {"serve", endivelatch::run_serve},       {"router", endivelatch::run_router},
+        {"admin", endivelatch::run_admin},       {"entry", endivelatch::run_entry},
+        {"timeline", endivelatch::run_timeline}, {"check", endivelatch::run_check},
     };
     return all;
 }
--- a/src/entry/connection_pool.cpp
+++ b/src/entry/connection_pool.cpp
@@ -42,11 +42,11 @@
     std::unique_ptr<answer_reader> reader;
     outgoing_id request;
     bool is_busy = false;
-    bool is_open = false;       ///< Connected.
-    bool has_begun = false;     ///< Bytes of an answer have come.
-    bool is_skipping = false;   ///< The answer being read belongs to another request.
-    bool is_reusable = false;   ///< The answer allows another request.
-    bool has_strayed = false;   ///< An answer to another request has come.
+    bool is_open = false;     ///< Connected.
+    bool has_begun = false;   ///< Bytes of an answer have come.
+    bool is_skipping = false; ///< The answer being read belongs to another request.
+    bool is_reusable = false; ///< The answer allows another request.
+    bool has_strayed = false; ///< An answer to another request has come.
     duration idle_time{default_idle_time};
     time_point idle_since{};
     time_point deadline{}; ///< For connecting, then for the answer; zero for none.
@@ -102,15 +102,14 @@
                          [this, &it] { on_complete(it); }});
     it.stream = std::make_unique<tcp_stream>(
         *loop_, to,
-        tcp_stream_callbacks{[this, &it] {
-                                 it.is_open = true;
-                                 set_answer_deadline(it);
-                             },
-                             [this, &it](std::string_view bytes) { on_data(it, bytes); },
-                             {},
-                             [this, &it](const std::string& reason) {
-                                 on_stream_closed(it, reason);
-                             }});
+        tcp_stream_callbacks{
+            [this, &it] {
+                it.is_open = true;
+                set_answer_deadline(it);
+            },
+            [this, &it](std::string_view bytes) { on_data(it, bytes); },
+            {},
+            [this, &it](const std::string& reason) { on_stream_closed(it, reason); }});
     it.stream->set_silence_limit(silence_limit);
     ++opened_;
     return it;
--- a/src/entry/settings_file.cpp
+++ b/src/entry/settings_file.cpp
@@ -9,8 +9,7 @@
 
 std::optional<settings_file::stamp> settings_file::current() const
 {
-    struct stat facts {
-    };
+    struct stat facts {};
     if (stat(path_.c_str(), &facts) != 0) {
         return std::nullopt;
     }
--- a/src/http1/message_writer.cpp
+++ b/src/http1/message_writer.cpp
@@ -11,8 +11,8 @@
 namespace {
 
 constexpr std::array<std::string_view, 9> hop_by_hop_names{
-    "connection", "keep-alive",        "proxy-authenticate", "proxy-authorization", "te",
-    "trailer",    "transfer-encoding", "upgrade",            "proxy-connection"};
+    "connection",        "keep-alive", "proxy-authenticate", "proxy-authorization", "te", "trailer",
+    "transfer-encoding", "upgrade",    "proxy-connection"};
 
 } // namespace
 
@@ -69,8 +69,7 @@
         return;
     }
     std::array<char, 16> size{};
-    const auto end =
-        std::to_chars(size.data(), size.data() + size.size(), bytes.size(), 16).ptr;
+    const auto end = std::to_chars(size.data(), size.data() + size.size(), bytes.size(), 16).ptr;
     out.append(size.data(), end).append("\r\n").append(bytes).append("\r\n");
 }
 
--- a/src/http1/request_reader.cpp
+++ b/src/http1/request_reader.cpp
@@ -39,8 +39,8 @@
     }
     const auto* length = find_any_case(headers, "content-length");
     const auto is_digit = [](char c) { return c >= '0' && c <= '9'; };
-    if (length != nullptr && (length->empty() || !std::all_of(length->begin(), length->end(),
-                                                              is_digit))) {
+    if (length != nullptr &&
+        (length->empty() || !std::all_of(length->begin(), length->end(), is_digit))) {
         return false;
     }
     return !head.target.empty() && head.target.front() == '/';
@@ -191,9 +191,7 @@
     return n;
 }
 
-request_reader::request_reader(request_limits limits) : parser_{std::make_unique<parser>(limits)}
-{
-}
+request_reader::request_reader(request_limits limits) : parser_{std::make_unique<parser>(limits)} {}
 
 request_reader::~request_reader() = default;
 request_reader::request_reader(request_reader&&) noexcept = default;
--- a/src/traffic/target_state.cpp
+++ b/src/traffic/target_state.cpp
@@ -67,9 +67,8 @@
     }
     for (std::size_t i = 0; i <= std::min<std::size_t>(priority, priority_count - 1); ++i) {
         const auto& it = waits_.at(i);
-        const auto weight =
-            1.0 - std::chrono::duration<double>{now - it.at} /
-                      std::chrono::duration<double>{wait_lifetime};
+        const auto weight = 1.0 - std::chrono::duration<double>{now - it.at} /
+                                      std::chrono::duration<double>{wait_lifetime};
         if (weight > 0) {
             longest = std::max(longest, std::chrono::duration_cast<duration>(it.wait * weight));
         }
--- a/src/traffic/target_table.cpp
+++ b/src/traffic/target_table.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-const std::vector<target_state*>&
-of_pool(const std::map<pool_id, std::vector<target_state*>>& all, const pool_id& pool)
+const std::vector<target_state*>& of_pool(const std::map<pool_id, std::vector<target_state*>>& all,
+                                          const pool_id& pool)
 {
     static const std::vector<target_state*> none;
     const auto it = all.find(pool);
--- a/src/traffic/traffic_router.cpp
+++ b/src/traffic/traffic_router.cpp
@@ -72,13 +72,13 @@
             .add("target", it->second.running->target)
             .add("stage", to_string(e.stage))
             .add("reason", e.reason));
-    metrics_.add("attempts_broken", 1, std::string{"stage=\""} + std::string{to_string(e.stage)} + '"');
+    metrics_.add("attempts_broken", 1,
+                 std::string{"stage=\""} + std::string{to_string(e.stage)} + '"');
     if (was_not_sent) {
         --it->second.sends;
         --it->second.may_have_run;
     }
-    attempt_over(it->second,
-                 was_not_sent ? attempt_outcome::unreachable : attempt_outcome::failed);
+    attempt_over(it->second, was_not_sent ? attempt_outcome::unreachable : attempt_outcome::failed);
     after_failure(e.key.exchange, it->second, was_not_sent, e.reason);
 }
 
@@ -218,8 +218,8 @@
 traffic_router::exchange_map::iterator traffic_router::find(const exchange_attempt& key)
 {
     const auto it = exchanges_.find(key.exchange);
-    const bool is_current = it != exchanges_.end() && it->second.running &&
-                            it->second.running->number == key.number;
+    const bool is_current =
+        it != exchanges_.end() && it->second.running && it->second.running->number == key.number;
     return is_current ? it : exchanges_.end();
 }
 
--- a/tests/entry/connection_pool_test.cpp
+++ b/tests/entry/connection_pool_test.cpp
@@ -32,8 +32,9 @@
         request.to = to;
         request.is_idempotent = is_idempotent;
         request.is_head = method == "HEAD";
-        request.bytes = method + " /p HTTP/1.1\r\nHost: h\r\nContent-Length: " +
-                        std::to_string(body.size()) + "\r\n\r\n" + body;
+        request.bytes =
+            method + " /p HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(body.size()) +
+            "\r\n\r\n" + body;
         return pool.send(std::move(request));
     }
 
@@ -48,21 +49,20 @@
 
     event_loop loop;
     std::map<outgoing_id, outcome> outcomes;
-    connection_pool pool{loop,
-                         {[this](outgoing_id id, answer_head&& head) {
-                              ++outcomes[id].heads;
-                              outcomes[id].status = head.status;
-                              if (head.status == 299) {
-                                  pool.skip_answer(id);
-                              }
-                          },
-                          [this](outgoing_id id, std::string_view bytes) {
-                              outcomes[id].body += bytes;
-                          },
-                          [this](outgoing_id id) { outcomes[id].is_complete = true; },
-                          [this](outgoing_id id, attempt_stage stage, const std::string&) {
-                              outcomes[id].broken = stage;
-                          }}};
+    connection_pool pool{
+        loop,
+        {[this](outgoing_id id, answer_head&& head) {
+             ++outcomes[id].heads;
+             outcomes[id].status = head.status;
+             if (head.status == 299) {
+                 pool.skip_answer(id);
+             }
+         },
+         [this](outgoing_id id, std::string_view bytes) { outcomes[id].body += bytes; },
+         [this](outgoing_id id) { outcomes[id].is_complete = true; },
+         [this](outgoing_id id, attempt_stage stage, const std::string&) {
+             outcomes[id].broken = stage;
+         }}};
 };
 
 TEST_F(pool_fixture, keeps_connections_for_further_requests)
@@ -81,11 +81,11 @@
 {
     for (const std::string body : {"", "body"}) {
         for (const bool closes_after_head : {false, true}) {
-            scripted_target target{loop, [](int n, const request_head&) {
-                                       return n == 1 ? scripted_target::reaction{std::string{
-                                                           whole_answer}}
-                                                     : scripted_target::reaction{"", true};
-                                   }};
+            scripted_target target{
+                loop, [](int n, const request_head&) {
+                    return n == 1 ? scripted_target::reaction{std::string{whole_answer}}
+                                  : scripted_target::reaction{"", true};
+                }};
             EXPECT_TRUE(exchange(target.address(), false, "POST", body).is_complete);
             target.closes_after_head = closes_after_head;
             EXPECT_EQ(exchange(target.address(), false, "POST", body).broken, attempt_stage::sent);
--- a/tests/entry/request_server_test.cpp
+++ b/tests/entry/request_server_test.cpp
@@ -134,8 +134,8 @@
 
 TEST_F(server_fixture, closes_connections_that_stay_idle_or_never_send_a_whole_request)
 {
-    server.set_limits({request_limits{}, std::chrono::milliseconds{200},
-                       std::chrono::milliseconds{300}});
+    server.set_limits(
+        {request_limits{}, std::chrono::milliseconds{200}, std::chrono::milliseconds{300}});
     run_until(loop, [&] { return is_closed; });
     connect();
     send("GET /a HTT");
--- a/tests/entry/scripted_target.hpp
+++ b/tests/entry/scripted_target.hpp
@@ -18,13 +18,14 @@
 public:
     /// What to do when a whole request has arrived.
     struct reaction {
-        std::string bytes;      ///< Sent as they are.
-        bool closes = false;    ///< Then closes the connection.
+        std::string bytes;   ///< Sent as they are.
+        bool closes = false; ///< Then closes the connection.
     };
     using script = std::function<reaction(int request, const request_head&)>;
 
     scripted_target(event_loop& loop, script answers)
-        : loop_{&loop}, answers_{std::move(answers)}, listener_{loop, [this](int fd) { accept(fd); }}
+        : loop_{&loop}, answers_{std::move(answers)}, listener_{loop,
+                                                                [this](int fd) { accept(fd); }}
     {
         listener_.start({"127.0.0.1", 0});
     }
--- a/tests/http1/answer_reader_test.cpp
+++ b/tests/http1/answer_reader_test.cpp
@@ -23,7 +23,8 @@
 TEST(answer_reader, reads_length_and_leaves_what_follows)
 {
     recorder it;
-    const std::string_view bytes = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nabHTTP/1.1 500 X\r\n";
+    const std::string_view bytes =
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nabHTTP/1.1 500 X\r\n";
     EXPECT_EQ(it.reader.feed(bytes), bytes.find("HTTP/1.1 500"));
     EXPECT_EQ(it.completed, 1);
     EXPECT_EQ(it.body, "ab");
@@ -82,8 +83,12 @@
 
 TEST(message_writer, removes_what_concerns_one_connection)
 {
-    http_headers headers{{"Connection", "close, X-Hop"}, {"x-hop", "1"}, {"Keep-Alive", "5"},
-                         {"TE", "trailers"},             {"A", "b"},     {"Content-Length", "3"}};
+    http_headers headers{{"Connection", "close, X-Hop"},
+                         {"x-hop", "1"},
+                         {"Keep-Alive", "5"},
+                         {"TE", "trailers"},
+                         {"A", "b"},
+                         {"Content-Length", "3"}};
     remove_hop_by_hop(headers);
     EXPECT_EQ(headers, (http_headers{{"A", "b"}}));
 }
--- a/tests/mirror/object_mirror_test.cpp
+++ b/tests/mirror/object_mirror_test.cpp
@@ -13,7 +13,8 @@
     return {name, store_revision{revision}, "content " + std::to_string(revision)};
 }
 
-object_page page(std::vector<mirrored_object> objects, std::uint64_t revision, bool has_more = false)
+object_page page(std::vector<mirrored_object> objects, std::uint64_t revision,
+                 bool has_more = false)
 {
     return {std::move(objects), has_more, store_revision{revision}};
 }
--- a/tests/platform_adapter/messages_test.cpp
+++ b/tests/platform_adapter/messages_test.cpp
@@ -76,10 +76,10 @@
     terms.time_left = std::chrono::milliseconds{1'234};
     const auto text = protocol::write_request(request, terms);
     EXPECT_TRUE(text.starts_with("POST /a%20/b?c HTTP/1.1\r\n"));
-    for (const char* it : {"Host: Some.Example:80\r\n", "Endivelatch-Model: m\r\n", "X-Own: 1\r\n",
-                           "Endivelatch-Tenant: org\r\n", "Endivelatch-Attempt-Id: 9c41\r\n",
-                           "Endivelatch-Expected-Instance: i-1\r\n",
-                           "Endivelatch-Deadline-Ms: 1234\r\n"}) {
+    for (const char* it :
+         {"Host: Some.Example:80\r\n", "Endivelatch-Model: m\r\n", "X-Own: 1\r\n",
+          "Endivelatch-Tenant: org\r\n", "Endivelatch-Attempt-Id: 9c41\r\n",
+          "Endivelatch-Expected-Instance: i-1\r\n", "Endivelatch-Deadline-Ms: 1234\r\n"}) {
         EXPECT_NE(text.find(it), std::string::npos) << it;
     }
     for (const char* it : {"forged", "abc", "X-Hop", "Pin-Ms", "Request-Priority"}) {
--- /dev/null
+++ b/tests/serve/serve_fleet.cpp
@@ -0,0 +1,181 @@
+#include "serve_fleet.hpp"
+
+#include "net/loopback.hpp"
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include <unistd.h>
+
+namespace endivelatch::serve {
+
+namespace {
+
+constexpr int ports_per_router = 8;
+constexpr int replica_count = 3;
+
+/// Ports below those that the kernel gives out by itself; test processes differ by their id.
+int choose_port_base()
+{
+    constexpr int first = 12'000;
+    constexpr int span = 16'000;
+    return first + (static_cast<int>(getpid()) * 64) % span;
+}
+
+} // namespace
+
+serve_fleet::serve_fleet(int count)
+    : callers{loop,
+              {[this](outgoing_id id, answer_head&& head) {
+                   answers[id].status = head.status;
+                   answers[id].headers = std::move(head.headers);
+               },
+               [this](outgoing_id id, std::string_view bytes) { answers[id].body += bytes; },
+               [this](outgoing_id id) {
+                   answers[id].is_complete = true;
+                   answers[id].has_ended = true;
+               },
+               [this](outgoing_id id, attempt_stage, const std::string&) {
+                   answers[id].has_ended = true;
+               }}},
+      router_count_{count}, port_base_{choose_port_base()}, dir_{testing::TempDir() +
+                                                                 "endivelatch-serve-" +
+                                                                 std::to_string(getpid())}
+{
+    std::filesystem::create_directories(dir_);
+    for (int n = 1; n <= replica_count; ++n) {
+        replicas.push_back(
+            std::make_unique<standins::replica_standin>(loop, "i-" + std::to_string(n), "pool"));
+        store.put("servers", replicas.back()->id(), replicas.back()->registration());
+    }
+    configure(1);
+    for (int n = 1; n <= count; ++n) {
+        start(n);
+    }
+    wait_until_ready();
+}
+
+serve_fleet::~serve_fleet()
+{
+    routers.clear();
+    std::filesystem::remove_all(dir_);
+}
+
+endpoint serve_fleet::address(int router, int offset) const
+{
+    return {"127.0.0." + std::to_string(router), static_cast<std::uint16_t>(port_base_ + offset)};
+}
+
+std::string serve_fleet::settings_path(int router) const
+{
+    return dir_ + "/boot-" + std::to_string(router) + ".toml";
+}
+
+std::string serve_fleet::settings(int router) const
+{
+    const auto text = [&](int offset) {
+        const auto where = address(router, offset);
+        return '"' + where.address + ":" + std::to_string(where.port) + '"';
+    };
+    std::ostringstream out;
+    out << "NodeName = \"edge-" << router << "\"\nZone = \"zone\"\nRegion = \"region\"\nIp = \""
+        << address(router, 0).address << "\"\nInternalPorts = [" << port_base_ + 4 << ","
+        << port_base_ + ports_per_router << "]\nSeeds = [\"" << address(1, 0).address
+        << ":1\"]\n[Listen]\nFrontend = " << text(0) << "\nReadiness = " << text(1)
+        << "\nDirectory = " << text(2) << "\n[Bounds]\nGraceS = 4\nRetryBudgetRatio = 0.2\n"
+        << "RetrySlack = 50\nCapFactor = 2\nttl_max_s = 5\n[Platform]\nAddress = \""
+        << store.address().address << ":" << store.address().port << "\"\n";
+    return out.str();
+}
+
+void serve_fleet::start(int router)
+{
+    std::ofstream{settings_path(router)} << settings(router);
+    const auto metrics_address = metrics(router);
+    routers[router] = std::make_unique<failures::child_process>(
+        std::vector<std::string>{ENDIVELATCH_PROGRAM, "serve", "--boot=" + settings_path(router),
+                                 "--metrics=" + metrics_address.address + ":" +
+                                     std::to_string(metrics_address.port)},
+        dir_ + "/log-" + std::to_string(router));
+}
+
+std::string serve_fleet::log(int router) const
+{
+    std::ifstream in{dir_ + "/log-" + std::to_string(router)};
+    std::ostringstream content;
+    content << in.rdbuf();
+    return content.str();
+}
+
+void serve_fleet::wait_until_ready()
+{
+    for (int n = 1; n <= router_count_; ++n) {
+        run_until(loop, [&] {
+            run_for(loop, std::chrono::milliseconds{20});
+            return readiness(n) == 200;
+        });
+    }
+}
+
+void serve_fleet::configure(int version, const std::vector<std::string>& keys)
+{
+    const auto route = [](const std::string& name, const std::string& type, int attempts,
+                          bool resumes) {
+        return nlohmann::json{
+            {"Name", name},       {"Host", "host.example"}, {"PathPrefix", "/" + name + "/"},
+            {"Type", type},       {"TimeoutMs", 1'500},     {"TargetLatencyMs", 200},
+            {"Priority", 1},      {"Service", "pool"},      {"MaxAttempts", attempts},
+            {"Anonymous", false}, {"StreamResume", resumes}};
+    };
+    store.put("config", "main",
+              {{"Version", version},
+               {"Routes",
+                {route("safe", "safe", 2, false), route("unsafe", "unsafe", 1, false),
+                 route("once/stream", "streaming", 1, false),
+                 route("again/stream", "streaming", 2, true)}},
+               {"Services", {{{"Name", "pool"}, {"HealthPath", "/healthz"}}}},
+               {"Limits", {{"MaxHeaderBytes", 4'096}, {"MaxBodyBytes", 10'000}}},
+               {"Tenants", {{{"Name", "org"}, {"ApiKeys", keys}}}}});
+}
+
+outgoing_id serve_fleet::send(int router, const std::string& path, const std::string& attempt,
+                              const std::string& key, const std::string& method)
+{
+    outgoing_request out;
+    out.to = requests(router);
+    out.bytes = method + " " + path +
+                " HTTP/1.1\r\nHost: host.example\r\nEndivelatch-Attempt-Id: " + attempt +
+                "\r\nEndivelatch-Deadline-Ms: 5000\r\nAuthorization: Token " + key +
+                "\r\nContent-Length: 4\r\n\r\nbody";
+    return callers.send(std::move(out));
+}
+
+const caller_answer& serve_fleet::wait(outgoing_id id)
+{
+    run_until(loop, [&] { return answers[id].has_ended; });
+    return answers[id];
+}
+
+caller_answer serve_fleet::ask(int router, const std::string& path, const std::string& attempt,
+                               const std::string& key)
+{
+    return wait(send(router, path, attempt, key));
+}
+
+caller_answer serve_fleet::get(const endpoint& to, const std::string& target)
+{
+    outgoing_request out;
+    out.to = to;
+    out.is_idempotent = true;
+    out.bytes = "GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n";
+    return wait(callers.send(std::move(out)));
+}
+
+int serve_fleet::readiness(int router)
+{
+    return get(address(router, 1), "/-/readyz").status;
+}
+
+} // namespace endivelatch::serve
--- /dev/null
+++ b/tests/serve/serve_fleet.hpp
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "failures/child_process.hpp"
+#include "standins/replica_standin.hpp"
+#include "standins/store_standin.hpp"
+
+#include "endivelatch/entry/connection_pool.hpp"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace endivelatch::serve {
+
+/// An answer as a caller got it.
+struct caller_answer {
+    int status = 0;
+    http_headers headers;
+    std::string body;
+    bool is_complete = false;
+    bool has_ended = false;
+};
+
+/// Entry routers as processes before stand-ins of the store and of replicas in this process.
+class serve_fleet {
+public:
+    explicit serve_fleet(int routers);
+    ~serve_fleet();
+    serve_fleet(const serve_fleet&) = delete;
+    serve_fleet(serve_fleet&&) = delete;
+    serve_fleet& operator=(const serve_fleet&) = delete;
+    serve_fleet& operator=(serve_fleet&&) = delete;
+
+    /// Starts a router; numbers begin with 1.
+    void start(int router);
+
+    /// Waits until all routers say that they are ready.
+    void wait_until_ready();
+
+    /// Writes the operator's configuration; each version moves no route.
+    void configure(int version, const std::vector<std::string>& keys = {"key"});
+
+    /// Sends a request; returns the number of its answer.
+    outgoing_id send(int router, const std::string& path, const std::string& attempt,
+                     const std::string& key = "key", const std::string& method = "POST");
+
+    /// Sends a request and waits for the end of its answer.
+    caller_answer ask(int router, const std::string& path, const std::string& attempt,
+                      const std::string& key = "key");
+
+    /// Waits for the end of an answer.
+    const caller_answer& wait(outgoing_id id);
+
+    /// Asks whether the router is ready; returns the status, 0 without an answer.
+    int readiness(int router);
+
+    /// Returns what a router says to a question at one of its other addresses.
+    caller_answer get(const endpoint& to, const std::string& target);
+
+    /// Returns the addresses of a router.
+    endpoint requests(int router) const { return address(router, 0); }
+    endpoint entries(int router) const { return address(router, 2); }
+    endpoint metrics(int router) const { return address(router, 3); }
+
+    /// Returns what a router has logged so far.
+    std::string log(int router) const;
+
+    /// Returns the path of a router's settings file.
+    std::string settings_path(int router) const;
+
+    /// Returns the settings of a router.
+    std::string settings(int router) const;
+
+    event_loop loop;
+    standins::store_standin store{loop};
+    std::vector<std::unique_ptr<standins::replica_standin>> replicas;
+    std::map<int, std::unique_ptr<failures::child_process>> routers;
+    std::map<outgoing_id, caller_answer> answers;
+    connection_pool callers;
+
+private:
+    endpoint address(int router, int offset) const;
+
+    int router_count_;
+    int port_base_;
+    std::string dir_;
+};
+
+} // namespace endivelatch::serve
--- /dev/null
+++ b/tests/standins/replica_standin.cpp
@@ -0,0 +1,111 @@
+#include "replica_standin.hpp"
+
+#include <utility>
+
+namespace endivelatch::standins {
+
+replica_standin::replica_standin(event_loop& loop, std::string id, std::string pool)
+    : server_{loop,
+              {[this](exchange_number n, request_head&& head, std::string&& body) {
+                   on_request(n, head, body);
+               },
+               [this](exchange_number n) {
+                   ++abandoned_;
+                   streams_.erase(n);
+               },
+               {}}},
+      delays_{loop}, id_{std::move(id)}, pool_{std::move(pool)}
+{
+    server_.start({"127.0.0.1", 0});
+}
+
+nlohmann::json replica_standin::registration(const std::string& state) const
+{
+    const auto& where = server_.listening();
+    return {{"Service", pool_}, {"Address", where.address + ":" + std::to_string(where.port)},
+            {"Zone", "zone"},   {"Version", "v1"},
+            {"Slots", 6},       {"State", state},
+            {"Sequence", 1},    {"born", 1'700'000'000'000}};
+}
+
+http_headers replica_standin::answer_headers(const std::string& attempt) const
+{
+    return {{"Endivelatch-Attempt-Id", attempt},
+            {"Endivelatch-Response-Signature", "signed-by-" + id_},
+            {"Endivelatch-Instance-Load", "1,0,6"}};
+}
+
+void replica_standin::on_request(exchange_number id, const request_head& head,
+                                 const std::string& body)
+{
+    last_headers_ = head.headers;
+    const auto* attempt = find_any_case(head.headers, "Endivelatch-Attempt-Id");
+    const auto* expected = find_any_case(head.headers, "Endivelatch-Expected-Instance");
+    if (expected != nullptr && *expected != id_) {
+        server_.respond(id, 421, {}, {});
+        return;
+    }
+    if (attempt == nullptr || fault_ == fault::refuses) {
+        server_.respond(id, 503, {{"Endivelatch-Not-Executed", "1"}}, {});
+        return;
+    }
+    ++runs_[*attempt];
+    auto headers = answer_headers(*attempt);
+    const bool is_stream = head.target.find("/stream/") != std::string::npos;
+    switch (fault_) {
+    case fault::loses:
+        server_.abort(id);
+        return;
+    case fault::hangs:
+        return;
+    case fault::errs:
+        server_.respond(id, 500, headers, "error");
+        return;
+    case fault::unsigned_ok:
+        server_.respond(id, 200, {{"Endivelatch-Attempt-Id", *attempt}}, "not mine");
+        return;
+    case fault::breaks_off:
+        if (!is_stream) {
+            server_.begin(id, 200, headers, 100);
+            server_.write(id, "only a part");
+            delays_.after(event_gap, [this, id] { server_.abort(id); });
+            return;
+        }
+        break;
+    case fault::none:
+    case fault::refuses:
+        break;
+    }
+    if (!is_stream) {
+        server_.respond(id, 200, headers, head.method + " " + head.target + " " + body);
+        return;
+    }
+    headers.push_back({"Content-Type", "text/event-stream"});
+    server_.begin(id, 200, headers, std::nullopt);
+    streams_[id] = true;
+    const auto* last = find_any_case(head.headers, "Last-Event-Id");
+    stream(id, last == nullptr ? 1 : std::stoi(*last) + 1);
+}
+
+void replica_standin::stream(exchange_number id, int next)
+{
+    if (!streams_.contains(id)) {
+        return;
+    }
+    if (fault_ == fault::breaks_off && next == 3) {
+        server_.write(id, "id: 3\nda");
+        delays_.after(event_gap, [this, id] { server_.abort(id); });
+        streams_.erase(id);
+        return;
+    }
+    if (next > events) {
+        server_.finish(id);
+        streams_.erase(id);
+        return;
+    }
+    const auto n = std::to_string(next);
+    server_.write(id, "id: " + n + "\ndata: event " + n + "\n\n");
+    delays_.after(event_gap, [this, id, next] { stream(id, next + 1); });
+}
+
+} // namespace endivelatch::standins
--- /dev/null
+++ b/tests/standins/store_standin.cpp
@@ -0,0 +1,182 @@
+#include "store_standin.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace endivelatch::standins {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view objects_path = "/-/objects/";
+
+/// Returns the value of a query parameter.
+std::string parameter(const std::string& target, const std::string& name)
+{
+    const auto at = target.find(name + "=");
+    if (at == std::string::npos) {
+        return {};
+    }
+    const auto from = at + name.size() + 1;
+    return target.substr(from, target.find('&', from) - from);
+}
+
+} // namespace
+
+store_standin::store_standin(event_loop& loop)
+    : server_{loop,
+              {[this](exchange_number id, request_head&& head, std::string&& body) {
+                   on_request(id, head, body);
+               },
+               [this](exchange_number id) {
+                   std::erase_if(watchers_, [&](const auto& it) { return it.id == id; });
+               },
+               {}}},
+      delays_{loop}
+{
+    server_.start({"127.0.0.1", 0});
+}
+
+void store_standin::put(const std::string& kind, const std::string& name, const json& spec)
+{
+    ++revision_;
+    kinds_[kind][name] = {{"Metadata", {{"Name", name}, {"Revision", revision_}}}, {"Spec", spec}};
+    note(kind, kinds_[kind][name], false);
+}
+
+void store_standin::remove(const std::string& kind, const std::string& name)
+{
+    ++revision_;
+    auto object = kinds_[kind][name];
+    object["Metadata"]["Revision"] = revision_;
+    kinds_[kind].erase(name);
+    note(kind, object, true);
+}
+
+void store_standin::note(const std::string& kind, const json& object, bool is_deleted)
+{
+    history_.push_back({revision_, kind, {{"Object", object}, {"Deleted", is_deleted}}});
+    if (mode_ == mode::well) {
+        std::erase_if(watchers_, [this](const auto& it) { return answer_watch(it, false); });
+    }
+}
+
+void store_standin::set_mode(mode m)
+{
+    mode_ = m;
+    if (m == mode::well) {
+        for (const auto it : std::exchange(unanswered_, {})) {
+            server_.abort(it);
+        }
+    }
+}
+
+void store_standin::forget_history()
+{
+    history_.clear();
+    first_revision_ = ++revision_;
+    for (const auto& it : std::exchange(watchers_, {})) {
+        server_.abort(it.id);
+    }
+}
+
+void store_standin::on_request(exchange_number id, const request_head& head,
+                               const std::string& body)
+{
+    ++calls_;
+    if (mode_ == mode::silent) {
+        unanswered_.push_back(id);
+        return;
+    }
+    if (mode_ == mode::refusing || !head.target.starts_with(objects_path)) {
+        respond(id, mode_ == mode::refusing ? 503 : 404, json::object());
+        return;
+    }
+    const auto path = head.target.substr(0, head.target.find('?'));
+    const auto kind_and_name = path.substr(objects_path.size());
+    const auto slash = kind_and_name.find('/');
+    const auto kind = kind_and_name.substr(0, slash);
+    if (head.method == "POST") {
+        create(id, kind, body);
+        return;
+    }
+    if (head.method == "DELETE" && slash != std::string::npos) {
+        const auto name = kind_and_name.substr(slash + 1);
+        const bool is_known = kinds_[kind].contains(name);
+        if (is_known) {
+            remove(kind, name);
+        }
+        respond(id, is_known ? 200 : 404, json::object());
+        return;
+    }
+    const auto after = parameter(head.target, "Watch");
+    if (after.empty()) {
+        list(id, kind, parameter(head.target, "After"));
+        return;
+    }
+    watch(id, kind, std::stoull(after), std::stoi(parameter(head.target, "WaitMs")));
+}
+
+void store_standin::list(exchange_number id, const std::string& kind, const std::string& after)
+{
+    auto items = json::array();
+    const auto& all = kinds_[kind];
+    auto it = after.empty() ? all.begin() : all.upper_bound(after);
+    for (; it != all.end() && items.size() < page_size; ++it) {
+        items.push_back(it->second);
+    }
+    respond(id, 200, {{"Items", items}, {"HasMore", it != all.end()}, {"At", revision_}});
+}
+
+void store_standin::watch(exchange_number id, const std::string& kind, std::uint64_t after,
+                          int wait_ms)
+{
+    if (after < first_revision_) {
+        respond(id, 410, json::object());
+        return;
+    }
+    if (answer_watch({id, kind, after}, false)) {
+        return;
+    }
+    watchers_.push_back({id, kind, after});
+    delays_.after(std::chrono::milliseconds{wait_ms}, [this, id] {
+        std::erase_if(watchers_, [&](const auto& it) {
+            return it.id == id && mode_ == mode::well && answer_watch(it, true);
+        });
+    });
+}
+
+bool store_standin::answer_watch(const watcher& it, bool is_over)
+{
+    auto events = json::array();
+    for (const auto& past : history_) {
+        if (past.kind == it.kind && past.revision > it.after) {
+            events.push_back(past.event);
+        }
+    }
+    if (events.empty() && !is_over) {
+        return false;
+    }
+    respond(it.id, 200, {{"events", events}, {"At", revision_}});
+    return true;
+}
+
+void store_standin::create(exchange_number id, const std::string& kind, const std::string& body)
+{
+    const auto object = json::parse(body, nullptr, false);
+    const auto name = object["Metadata"]["Name"].get<std::string>();
+    if (kinds_[kind].contains(name)) {
+        respond(id, 409, kinds_[kind][name]);
+        return;
+    }
+    put(kind, name, object["Spec"]);
+    respond(id, 200, kinds_[kind][name]);
+}
+
+void store_standin::respond(exchange_number id, int status, const json& body)
+{
+    server_.respond(id, status, {{"Content-Type", "application/json"}}, body.dump());
+}
+
+} // namespace endivelatch::standins
--- a/tests/traffic/traffic_world.cpp
+++ b/tests/traffic/traffic_world.cpp
@@ -227,7 +227,8 @@
 {
     for (const auto& [number, it] : requests_) {
         if (!it.has_ended && clock_.now() > it.must_end_by + std::chrono::milliseconds{60}) {
-            fault("timeout", "request " + std::to_string(number.value()) + " has no answer in time");
+            fault("timeout",
+                  "request " + std::to_string(number.value()) + " has no answer in time");
         }
     }
     const auto from = clock_.now() - budget_window;
@@ -238,8 +239,8 @@
         retry_times_.pop_front();
     }
     const traffic_settings settings;
-    const auto allowed = settings.retry_share * static_cast<double>(request_times_.size()) +
-                         settings.retry_burst;
+    const auto allowed =
+        settings.retry_share * static_cast<double>(request_times_.size()) + settings.retry_burst;
     if (static_cast<double>(retry_times_.size()) > allowed) {
         fault("budget", std::to_string(retry_times_.size()) + " retries in a window");
     }
@@ -292,8 +293,8 @@
 {
     auto& it = requests_.at(e.exchange);
     if (it.received != whole_body(it)) {
-        fault("whole", "request " + std::to_string(e.exchange.value()) + " got \"" + it.received +
-                           '"');
+        fault("whole",
+              "request " + std::to_string(e.exchange.value()) + " got \"" + it.received + '"');
     }
     end(e.exchange, it);
 }
--- a/tests/traffic/traffic_world.hpp
+++ b/tests/traffic/traffic_world.hpp
@@ -28,7 +28,8 @@
 /// Everything follows from the seed.
 class traffic_world {
 public:
-    explicit traffic_world(std::uint64_t seed, missing_protection missing = missing_protection::none);
+    explicit traffic_world(std::uint64_t seed,
+                           missing_protection missing = missing_protection::none);
 
     /// Takes random steps, then lets all requests end.
     void run(int steps);
@@ -45,10 +46,10 @@
         std::string host;
         bool is_idempotent = false;
         std::uint32_t max_attempts = 1;
-        int runs = 0;            ///< Targets that ran it.
-        int arrivals = 0;        ///< Targets that it reached.
-        int length = 0;          ///< Events of the whole answer.
-        std::string received;    ///< Body as the caller got it.
+        int runs = 0;         ///< Targets that ran it.
+        int arrivals = 0;     ///< Targets that it reached.
+        int length = 0;       ///< Events of the whole answer.
+        std::string received; ///< Body as the caller got it.
         bool has_begun = false;
         bool has_ended = false;
         bool said_not_run = false;
