--- a/include/endivelatch/entry/entry_process_traffic.ipp
+++ b/include/endivelatch/entry/entry_process_traffic.ipp
@@ -20,7 +20,7 @@
 {
     auto effects = router_.handle(std::move(event), loop_->now());
     for (auto& it : effects) {
-        std::visit([this](auto& e) { act(e); }, it);
+        std::visit([this](auto& e) { this->act(e); }, it);
     }
     if (const auto next = router_.next_timer()) {
         constexpr duration shortest{1'000};
--- a/include/endivelatch/traffic/configuration.hpp
+++ b/include/endivelatch/traffic/configuration.hpp
@@ -82,9 +82,9 @@
 class traffic_configuration {
 public:
     /// Takes the parts; later routes of the same host and prefix are ignored.
-    traffic_configuration(traffic_version version, std::vector<traffic_route> routes,
-                          std::vector<traffic_pool> pools,
-                          std::vector<traffic_organisation> organisations, caller_limits limits);
+    traffic_configuration(traffic_version version, std::vector<traffic_route>&& routes,
+                          std::vector<traffic_pool>&& pools,
+                          std::vector<traffic_organisation>&& organisations, caller_limits limits);
 
     /// Returns the version.
     traffic_version version() const { return version_; }
--- a/src/base/counters.cpp
+++ b/src/base/counters.cpp
@@ -45,15 +45,16 @@
     };
     for (const auto& [name, it] : histograms_) {
         const auto full_name = "endivelatch_" + name + "_seconds";
-        text += "# TYPE " + full_name + " histogram\n";
+        text.append("# TYPE ").append(full_name).append(" histogram\n");
         std::uint64_t total = 0;
         for (std::size_t i = 0; i < it.buckets.size(); ++i) {
             total += it.buckets.at(i);
             const auto bound = i < bucket_bounds.size() ? seconds(bucket_bounds.at(i)) : "+Inf";
-            text += full_name + "_bucket{le=\"" + bound + "\"} " + std::to_string(total) + '\n';
+            text.append(full_name).append("_bucket{le=\"").append(bound).append("\"} ");
+            text.append(std::to_string(total)).append("\n");
         }
-        text += full_name + "_sum " + seconds(it.sum) + '\n';
-        text += full_name + "_count " + std::to_string(total) + '\n';
+        text.append(full_name).append("_sum ").append(seconds(it.sum)).append("\n");
+        text.append(full_name).append("_count ").append(std::to_string(total)).append("\n");
     }
 }
 
--- a/src/traffic/configuration.cpp
+++ b/src/traffic/configuration.cpp
@@ -38,9 +38,9 @@
 }
 
 traffic_configuration::traffic_configuration(traffic_version version,
-                                             std::vector<traffic_route> routes,
-                                             std::vector<traffic_pool> pools,
-                                             std::vector<traffic_organisation> organisations,
+                                             std::vector<traffic_route>&& routes,
+                                             std::vector<traffic_pool>&& pools,
+                                             std::vector<traffic_organisation>&& organisations,
                                              caller_limits limits)
     : version_{version}, organisations_{std::move(organisations)}, limits_{limits}
 {
--- a/tests/entry/connection_pool_test.cpp
+++ b/tests/entry/connection_pool_test.cpp
@@ -25,7 +25,7 @@
 
 /// A pool that remembers what it reports.
 struct pool_fixture : testing::Test {
-    outgoing_id send(const endpoint& to, bool is_idempotent, std::string method = "POST",
+    outgoing_id send(const endpoint& to, bool is_idempotent, const std::string& method = "POST",
                      const std::string& body = "body")
     {
         outgoing_request request;
@@ -157,7 +157,8 @@
 TEST_F(pool_fixture, an_answer_before_the_whole_request_ends_the_connection)
 {
     // More than the sockets' buffers hold, so that a part is unsent when the answer comes.
-    const std::string body(16'000'000, 'x');
+    std::string body;
+    body.resize(16'000'000, 'x');
     std::unique_ptr<tcp_stream> accepted;
     tcp_listener early{loop, [&](int fd) {
                            accepted = std::make_unique<tcp_stream>(
