--- a/include/endivelatch/traffic/traffic_router.hpp
+++ b/include/endivelatch/traffic/traffic_router.hpp
@@ -6,6 +6,7 @@
 #include "endivelatch/traffic/target_choice.hpp"
 #include "endivelatch/traffic/traffic_event.hpp"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -62,6 +63,11 @@
     static constexpr int silent_after_objectives = 6;
     /// Body of a plain answer that is held back until it is whole, in bytes.
     static constexpr std::size_t most_held_bytes = 262'144;
+    /// A request that comes before configuration and targets are known waits this long: a starting
+    /// router reads both within some ms when the store is well, and a caller's return takes longer.
+    static constexpr duration early_wait{150'000};
+    /// Most requests that wait for it.
+    static constexpr std::size_t most_early = 1'000;
     /// Time after which to return when the router does not know its configuration or targets yet.
     static constexpr duration unknown_retry_after{500'000};
     /// Time after which to return when no target takes the request; targets that refuse are
@@ -113,6 +119,13 @@
         std::uint64_t bytes_sent = 0;
     };
 
+    /// A request that came before configuration and targets were known.
+    struct early_request {
+        exchange_number exchange;
+        caller_request request;
+        time_point refuse_at{};
+    };
+
     using exchange_map = std::unordered_map<exchange_number, exchange>;
 
     // Events, in traffic_router.cpp.
@@ -129,6 +142,10 @@
     void on(timer_due& e);
 
     // Arrivals, in traffic_arrivals.cpp.
+    void take(exchange_number number, caller_request&& request);
+    void hold_early(exchange_number number, caller_request&& request);
+    void take_early();
+    void refuse_early();
     bool outlives_stop(const exchange& it) const;
     bool admit(exchange_number number, const caller_request& request, exchange& it);
     void refuse_arrival(exchange_number number, const caller_request& request, int status,
@@ -171,6 +188,7 @@
     std::uint64_t targets_revision_ = 0;
     std::uint32_t routers_ = 1;
     exchange_map exchanges_;
+    std::deque<early_request> early_; ///< In the order of arrival.
     std::set<std::pair<time_point, exchange_number>> timers_;
     std::map<pool_id, retry_budget> budgets_;
     counters metrics_;
--- a/src/traffic/traffic_arrivals.cpp
+++ b/src/traffic/traffic_arrivals.cpp
@@ -3,9 +3,52 @@
 #include "endivelatch/base/hash.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace endivelatch {
 
+void traffic_router::take(exchange_number number, caller_request&& request)
+{
+    exchange it;
+    if (!admit(number, request, it)) {
+        return;
+    }
+    it.request = std::make_shared<const caller_request>(std::move(request));
+    auto& kept = exchanges_.emplace(number, std::move(it)).first->second;
+    set_timer(number, kept, kept.expires_at);
+    try_next(number, kept);
+}
+
+void traffic_router::hold_early(exchange_number number, caller_request&& request)
+{
+    if (early_.size() >= most_early) {
+        refuse_arrival(number, request, 503, "too many requests before the first configuration",
+                       unknown_retry_after);
+        return;
+    }
+    early_.push_back({number, std::move(request), now_ + early_wait});
+}
+
+void traffic_router::take_early()
+{
+    if (!is_ready()) {
+        return;
+    }
+    for (auto& it : std::exchange(early_, {})) {
+        take(it.exchange, std::move(it.request));
+    }
+}
+
+void traffic_router::refuse_early()
+{
+    while (!early_.empty() && early_.front().refuse_at <= now_) {
+        const auto it = std::move(early_.front());
+        early_.pop_front();
+        refuse_arrival(it.exchange, it.request, 503, "configuration or targets not known yet",
+                       unknown_retry_after);
+    }
+}
+
 void traffic_router::refuse_arrival(exchange_number number, const caller_request& request,
                                     int status, std::string_view reason,
                                     std::optional<duration> retry_after)
@@ -28,11 +71,6 @@
 
 bool traffic_router::admit(exchange_number number, const caller_request& request, exchange& it)
 {
-    if (!is_ready()) {
-        refuse_arrival(number, request, 503, "configuration or targets not known yet",
-                       unknown_retry_after);
-        return false;
-    }
     const auto* route = configuration_->find_route(request.host, request.path());
     if (route == nullptr) {
         refuse_arrival(number, request, 404, "no route");
--- a/src/traffic/traffic_router.cpp
+++ b/src/traffic/traffic_router.cpp
@@ -31,27 +31,30 @@
 
 std::optional<time_point> traffic_router::next_timer() const
 {
-    if (timers_.empty()) {
-        return std::nullopt;
+    std::optional<time_point> next;
+    if (!timers_.empty()) {
+        next = timers_.begin()->first;
     }
-    return timers_.begin()->first;
+    if (!early_.empty()) {
+        next = std::min(next.value_or(early_.front().refuse_at), early_.front().refuse_at);
+    }
+    return next;
 }
 
 void traffic_router::on(request_arrived& e)
 {
     metrics_.add("requests");
-    exchange it;
-    if (!admit(e.exchange, e.request, it)) {
-        return;
+    if (is_ready()) {
+        take(e.exchange, std::move(e.request));
+    }
+    else {
+        hold_early(e.exchange, std::move(e.request));
     }
-    it.request = std::make_shared<const caller_request>(std::move(e.request));
-    auto& kept = exchanges_.emplace(e.exchange, std::move(it)).first->second;
-    set_timer(e.exchange, kept, kept.expires_at);
-    try_next(e.exchange, kept);
 }
 
 void traffic_router::on(caller_left& e)
 {
+    std::erase_if(early_, [&](const auto& it) { return it.exchange == e.exchange; });
     const auto it = exchanges_.find(e.exchange);
     if (it == exchanges_.end()) {
         return;
@@ -154,6 +157,7 @@
             .add("routes", configuration_->route_count()));
     metrics_.set("configuration_version",
                  static_cast<std::int64_t>(configuration_->version().value()));
+    take_early();
 }
 
 void traffic_router::on(targets_changed& e)
@@ -167,6 +171,7 @@
             .add("leaving", leaving)
             .add("revision", e.revision));
     metrics_.set("targets", static_cast<std::int64_t>(e.targets.size()));
+    take_early();
 }
 
 void traffic_router::on(fleet_changed& e)
@@ -186,6 +191,7 @@
 
 void traffic_router::on(timer_due&)
 {
+    refuse_early();
     while (!timers_.empty() && timers_.begin()->first <= now_) {
         const auto number = timers_.begin()->second;
         timers_.erase(timers_.begin());
