--- a/include/endivelatch/entry/entry_process.hpp
+++ b/include/endivelatch/entry/entry_process.hpp
@@ -146,5 +146,5 @@
 
 } // namespace endivelatch
 
-#include "endivelatch/entry/entry_process_life.ipp"
-#include "endivelatch/entry/entry_process_traffic.ipp"
+#include "endivelatch/entry/entry_process_life.hpp"
+#include "endivelatch/entry/entry_process_traffic.hpp"
--- a/include/endivelatch/entry/entry_process_life.ipp
+++ b/include/endivelatch/entry/entry_process_life.hpp
@@ -1,4 +1,8 @@
-// Start, stop, other interfaces, copies and the view of the fleet of entry_process.
+#pragma once
+
+#include "endivelatch/entry/entry_process.hpp"
+
+/// Start, stop, other interfaces, copies and the view of the fleet of entry_process.
 
 namespace endivelatch {
 
@@ -68,8 +72,7 @@
                      // Registrations that expired during an outage return within two seconds.
                      mirror_settings{.absence_grace = std::chrono::milliseconds{1'800}},
                      stable_hash(settings.id.str()) + 1,
-                     {[this] { targets_updated(); },
-                      [this] { return fleet_.live_peers(); },
+                     {[this] { targets_updated(); }, [this] { return fleet_.live_peers(); },
                       [this] { return fleet_.watcher_to_follow(); },
                       [this](log_event&& e) { write(std::move(e)); }}},
       fleet_{loop,
@@ -86,16 +89,13 @@
               },
               [this](duration late) { on_pause(late); },
               [this](log_event&& e) { write(std::move(e)); }}},
-      wake_{loop, [this] { deliver(timer_due{}); }},
-      housekeeping_{loop, [this] { housekeep(); }}, stop_timer_{loop, [this] { check_stop(); }},
-      lonely_timer_{loop, [this] { find_peers(); }},
-      waiters_timer_{loop, [this] { answer_copy_waiters(); }}, flush_timer_{loop,
-                                                                  [this] {
-                                                                      sink_->write_buffered();
-                                                                  }},
-      on_terminate_{loop, SIGTERM, [this] { stop(); }}, on_interrupt_{loop, SIGINT,
-                                                                      [this] { stop(); }},
-      on_hang_up_{loop, SIGHUP, [this] { reload("signal"); }}
+      wake_{loop, [this] { deliver(timer_due{}); }}, housekeeping_{loop, [this] { housekeep(); }},
+      stop_timer_{loop, [this] { check_stop(); }}, lonely_timer_{loop, [this] { find_peers(); }},
+      waiters_timer_{loop, [this] { answer_copy_waiters(); }},
+      flush_timer_{loop, [this] { sink_->write_buffered(); }}, on_terminate_{loop, SIGTERM,
+                                                                             [this] { stop(); }},
+      on_interrupt_{loop, SIGINT, [this] { stop(); }}, on_hang_up_{loop, SIGHUP,
+                                                                   [this] { reload("signal"); }}
 {
     file_.read();
 }
@@ -214,8 +214,8 @@
         peers_.respond(id, query->from_watcher ? 503 : 204, {}, {});
         return;
     }
-    copy_waiters_.emplace(
-        id, copy_waiter{*query, loop_->now() + mirror_client<Protocol>::peer_wait});
+    copy_waiters_.emplace(id,
+                          copy_waiter{*query, loop_->now() + mirror_client<Protocol>::peer_wait});
     if (!waiters_timer_.is_active()) {
         waiters_timer_.start(waiters_interval);
     }
@@ -330,26 +330,26 @@
     }
     lonely_timer_.start(lonely_delay * 5);
     const auto call = Protocol::list_call(object_kind::routers, {});
-    calls_.call({settings_.store, call.method, call.target, call.body, call_timeout},
-                [this](call_outcome&& outcome) {
-                    const auto* reply = std::get_if<call_reply>(&outcome);
-                    const auto page = reply == nullptr
-                                          ? result<object_page>{one_finding("store", "no answer")}
-                                          : Protocol::read_page(reply->body);
-                    if (!has_value(page)) {
-                        write(log_event{"no_peers_found"}.add("reason",
-                                                              to_string(findings_of(page))));
-                        return;
-                    }
-                    std::vector<endpoint> found;
-                    for (const auto& it : value_of(page).objects) {
-                        const auto address = Protocol::read_router(it);
-                        if (has_value(address)) {
-                            found.push_back(value_of(address));
-                        }
-                    }
-                    fleet_.add_seeds(found);
-                });
+    calls_.call(
+        {settings_.store, call.method, call.target, call.body, call_timeout},
+        [this](call_outcome&& outcome) {
+            const auto* reply = std::get_if<call_reply>(&outcome);
+            const auto page = reply == nullptr
+                                  ? result<object_page>{one_finding("store", "no answer")}
+                                  : Protocol::read_page(reply->body);
+            if (!has_value(page)) {
+                write(log_event{"no_peers_found"}.add("reason", to_string(findings_of(page))));
+                return;
+            }
+            std::vector<endpoint> found;
+            for (const auto& it : value_of(page).objects) {
+                const auto address = Protocol::read_router(it);
+                if (has_value(address)) {
+                    found.push_back(value_of(address));
+                }
+            }
+            fleet_.add_seeds(found);
+        });
 }
 
 template <entry_protocol Protocol>
@@ -394,8 +394,9 @@
     const auto read = text ? Protocol::read_settings(*text)
                            : result<entry_settings>{one_finding(file_.path(), "cannot be read")};
     if (!has_value(read)) {
-        write(log_event{"settings_kept"}.add("cause", cause).add(
-            "reason", to_string(findings_of(read))));
+        write(log_event{"settings_kept"}
+                  .add("cause", cause)
+                  .add("reason", to_string(findings_of(read))));
         return;
     }
     const bool is_new = value_of(read).bounds != settings_.bounds;
--- a/include/endivelatch/entry/entry_process_traffic.ipp
+++ b/include/endivelatch/entry/entry_process_traffic.hpp
@@ -1,4 +1,8 @@
-// Requests, attempts and answers of entry_process.
+#pragma once
+
+#include "endivelatch/entry/entry_process.hpp"
+
+/// Requests, attempts and answers of entry_process.
 
 namespace endivelatch {
 
--- a/src/http1/header_collector.hpp
+++ b/src/http1/header_collector.hpp
@@ -4,6 +4,8 @@
 
 #include <cstddef>
 
+#include <http_parser.h>
+
 namespace endivelatch {
 
 /// Assembles headers from the pieces that the parser reports.
@@ -33,4 +35,23 @@
     bool was_value_ = true;
 };
 
+/// Has the parser report headers to `Parser::collector`, up to the end of the head: trailers are
+/// dropped, so that they cannot pass for headers.
+template <class Parser>
+void collect_headers(http_parser_settings& settings)
+{
+    settings.on_header_field = [](http_parser* p, const char* at, std::size_t n) {
+        if (!Parser::of(p).has_head) {
+            Parser::of(p).collector.add_name(at, n);
+        }
+        return 0;
+    };
+    settings.on_header_value = [](http_parser* p, const char* at, std::size_t n) {
+        if (!Parser::of(p).has_head) {
+            Parser::of(p).collector.add_value(at, n);
+        }
+        return 0;
+    };
+}
+
 } // namespace endivelatch
--- a/src/http1/request_reader.cpp
+++ b/src/http1/request_reader.cpp
@@ -93,18 +93,7 @@
             of(p).head.target.append(at, n);
             return 0;
         };
-        s.on_header_field = [](http_parser* p, const char* at, std::size_t n) {
-            if (!of(p).has_head) { // Trailers are dropped, so that they cannot pass for headers.
-                of(p).collector.add_name(at, n);
-            }
-            return 0;
-        };
-        s.on_header_value = [](http_parser* p, const char* at, std::size_t n) {
-            if (!of(p).has_head) {
-                of(p).collector.add_value(at, n);
-            }
-            return 0;
-        };
+        collect_headers<parser>(s);
         s.on_headers_complete = [](http_parser* p) {
             auto& it = of(p);
             it.has_head = true;
