--- a/src/entry/fleet_view.cpp
+++ b/src/entry/fleet_view.cpp
@@ -199,6 +199,10 @@
 
 void fleet_view::act(summary_changed& e)
 {
+    if (e.key == ready_key && e.value.empty()) {
+        ready_.erase(e.router);
+        return;
+    }
     if (e.key == ready_key) {
         ready_[e.router] = e.value == is_ready_text;
         return;
--- a/tests/serve/serve_test.cpp
+++ b/tests/serve/serve_test.cpp
@@ -2,6 +2,8 @@
 
 #include "net/loopback.hpp"
 
+#include "endivelatch/entry/watch_seats.hpp"
+
 #include <algorithm>
 #include <csignal>
 #include <fstream>
@@ -240,6 +242,32 @@
     EXPECT_NE(text.find("endivelatch_request_duration_seconds_count 1"), std::string::npos);
 }
 
+struct ten_routers : testing::Test {
+    serve_fleet fleet{10};
+};
+
+TEST_F(ten_routers, eight_watch_the_store_and_the_others_follow_them)
+{
+    constexpr std::size_t kinds = 2;
+    const auto only_seats_watch = [&] {
+        run_for(fleet.loop, milliseconds{50});
+        return fleet.store.watches() == fewest_watch_seats * kinds;
+    };
+    run_until(fleet.loop, only_seats_watch);
+    fleet.configure(2, {"second"});
+    for (int n = 1; n <= 10; ++n) {
+        int tries = 0;
+        run_until(fleet.loop, [&] {
+            ++tries;
+            const auto attempt = std::to_string(n) + "-" + std::to_string(tries);
+            return fleet.ask(n, "/unsafe/x", attempt, "second").status == 200;
+        });
+    }
+    // Between two watches of one router none waits at the store.
+    EXPECT_LE(fleet.store.watches(), fewest_watch_seats * kinds);
+    run_until(fleet.loop, only_seats_watch);
+}
+
 TEST_F(two_routers, tell_callers_of_each_other_until_one_stops)
 {
     const auto list = [&] { return fleet.get(fleet.entries(1), "/-/resolve?Name=h&Zone=z").body; };
--- a/tests/standins/store_standin.hpp
+++ b/tests/standins/store_standin.hpp
@@ -48,6 +48,9 @@
         return kinds_[kind];
     }
 
+    /// Returns how many watches wait.
+    std::size_t watches() const { return watchers_.size(); }
+
     /// Returns how many calls were received.
     int calls() const { return calls_; }
 
