Let starting routers find each other before they watch the store

At a start of the whole fleet each of the 87 routers watched both kinds until it knew the members (2.5 s), while targets registered; later eight routers watched.

Ruled out: lists and announcements (three calls a router, needed).

Change: the first watch waits until the list of members has been read, 3 s at most, and only when other routers are expected. Fleets above eight have four watchers, one of 16 from 80 on. Tried before: a fixed pause of 2 s after the first list; tests/serve showed a leaving target used until then by a router without peers.

--- a/include/endivelatch/entry/fleet_view.hpp
+++ b/include/endivelatch/entry/fleet_view.hpp
@@ -64,12 +64,19 @@
     /// router has to watch it itself.
     std::optional<endpoint> watcher_to_follow();
 
+    /// Returns whether the members are still being read, shortly after the start.
+    bool is_joining() const;
+
     /// Returns whether any other router is known.
     bool has_peers() const { return membership_.has_peers(); }
 
     /// Bytes sent so far.
     std::uint64_t bytes_sent() const { return bytes_sent_; }
 
+    /// Longest time in which a starting router waits for the list of members: those of a fleet
+    /// that starts as a whole find each other in 2.5 s.
+    static constexpr duration longest_join{3'000'000};
+
 private:
     void receive(const endpoint& from, std::string_view bytes);
     void take_loads(const std::vector<load_report>& loads);
@@ -91,6 +98,7 @@
     endpoint address_;
     std::vector<endpoint> seeds_;
     timer timer_;
+    time_point started_at_{};
     std::map<router_id, bool> ready_;
     load_table loads_;
     random_source random_;
--- a/include/endivelatch/entry/mirror_client.hpp
+++ b/include/endivelatch/entry/mirror_client.hpp
@@ -24,6 +24,8 @@
     std::function<std::vector<endpoint>()> peers; ///< Addresses of the other live routers.
     /// Address of a router that watches the store; nothing when this one has to.
     std::function<std::optional<endpoint>()> watcher_to_follow;
+    /// Whether other routers are still being looked for, so that it is unknown who watches.
+    std::function<bool()> is_joining;
     std::function<void(log_event&&)> on_log;
 };
 
@@ -37,7 +39,8 @@
                   mirror_client_callbacks callbacks)
         : loop_{&loop}, calls_{&calls}, kind_{kind}, store_{store}, mirror_{settings, seed},
           callbacks_{std::move(callbacks)}, timer_{loop, [this] { apply(mirror_.tick(now())); }},
-          peer_timer_{loop, [this] { on_peer_timer(); }}, random_{seed}
+          peer_timer_{loop, [this] { on_peer_timer(); }},
+          join_timer_{loop, [this] { on_join_timer(); }}, random_{seed}
     {
     }
 
@@ -50,6 +53,7 @@
     /// Reads everything again, as after a pause of the process.
     void refresh()
     {
+        delayed_watch_.reset();
         if (call_) {
             calls_->cancel(*call_);
             call_.reset();
@@ -119,6 +123,8 @@
     /// Pause after a peer did not answer, and after one that had nothing newer.
     static constexpr duration peer_retry{200'000};
     static constexpr duration peer_pause{50'000};
+    /// Pause between two looks whether the other routers are known.
+    static constexpr duration join_pause{200'000};
 
 private:
     time_point now() const { return loop_->now(); }
@@ -144,6 +150,11 @@
 
     void watch(const watch_objects& e)
     {
+        if (mirror_.is_connected() && callbacks_.is_joining()) {
+            delayed_watch_ = e;
+            join_timer_.start(join_pause);
+            return;
+        }
         const auto watcher = mirror_.is_connected() ? callbacks_.watcher_to_follow() : std::nullopt;
         if (watcher) {
             follow(*watcher, e);
@@ -153,6 +164,13 @@
         }
     }
 
+    void on_join_timer()
+    {
+        if (const auto e = std::exchange(delayed_watch_, std::nullopt)) {
+            watch({mirror_.revision(), e->wait});
+        }
+    }
+
     /// Waits for a newer copy at a router that watches the store; without an answer this router
     /// watches the store itself for one round.
     void follow(const endpoint& watcher, const watch_objects& e)
@@ -350,6 +368,8 @@
     bool has_logged_loss_ = false;
     timer timer_;
     timer peer_timer_;
+    timer join_timer_;
+    std::optional<watch_objects> delayed_watch_; ///< Until the other routers are known.
     random_source random_;
 };
 
--- a/include/endivelatch/entry/watch_seats.hpp
+++ b/include/endivelatch/entry/watch_seats.hpp
@@ -10,8 +10,11 @@
 /// large fleet few watch and the others follow them.
 namespace endivelatch {
 
-/// Fewest watchers; smaller fleets all watch.
-inline constexpr std::size_t fewest_watch_seats = 8;
+/// Fleets up to this size all watch.
+inline constexpr std::size_t most_watching_all = 8;
+/// Fewest watchers of a larger fleet: one is nearly always left when the store refuses a third of
+/// the routers.
+inline constexpr std::size_t fewest_watch_seats = 4;
 /// Routers for each watcher in a large fleet, so that a watcher answers some tens of calls a
 /// second.
 inline constexpr std::size_t routers_per_seat = 16;
--- a/src/entry/fleet_view.cpp
+++ b/src/entry/fleet_view.cpp
@@ -81,6 +81,7 @@
 
 findings fleet_view::start()
 {
+    started_at_ = loop_->now();
     auto faults = socket_.start(address_);
     tick();
     return faults;
@@ -145,6 +146,11 @@
     return addresses;
 }
 
+bool fleet_view::is_joining() const
+{
+    return !seeds_.empty() && !membership_.is_synced() && loop_->now() - started_at_ < longest_join;
+}
+
 std::optional<endpoint> fleet_view::watcher_to_follow()
 {
     const auto seats = choose_watch_seats(membership_.live());
--- a/src/entry/watch_seats.cpp
+++ b/src/entry/watch_seats.cpp
@@ -10,10 +10,10 @@
 
 std::vector<member> choose_watch_seats(const std::vector<member>& live)
 {
-    const auto seats = std::max(fewest_watch_seats, live.size() / routers_per_seat);
-    if (live.size() <= seats) {
+    if (live.size() <= most_watching_all) {
         return live;
     }
+    const auto seats = std::max(fewest_watch_seats, live.size() / routers_per_seat);
     const auto place = stable_hash("watch seats");
     const std::span<const member> nodes{live};
     std::vector<member> chosen;
