Read large copies from the store while it answers

Ruled out: noticing callers that leave (within the bound on all other routers), the targets (others answered in time).

Change: a router passes on what keeps its link busy for 10 ms at most (settings' rate of the link, 64 KiB when unknown); a larger copy is answered by 303 and read from the store. Without the store whole copies are passed as before. Counters copies_sent by status and copy_bytes_sent. tests/serve: ten routers and a large configuration; with links of 1,000 Mbit/s, where it is small, the test fails as it should (340,732 bytes sent, 46,023 allowed).

Conclusion: the copies had choked the links.

--- /dev/null
+++ b/bench/loads.cpp
@@ -0,0 +1,171 @@
+#include "endivelatch/entry/fleet_view.hpp"
+#include "endivelatch/wire/codec.hpp"
+#include "membership/gossip_net.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <map>
+#include <vector>
+
+/// Cost of the membership among entry routers, and the age of the loads of targets that it carries,
+/// by number of routers. Arguments: numbers of routers; each has one target and some answers a
+/// second. Sizes are those of encoded packets with their IP and UDP headers.
+namespace endivelatch {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t ip_udp_header = 28;
+constexpr std::size_t domains = 4;
+constexpr double answers_per_second = 7.4; ///< Of a router on the users' grown deployments.
+
+/// Routers with their load tables on an in-process network.
+class loads_model {
+public:
+    explicit loads_model(std::size_t routers)
+        : net_{routers, entry_membership_settings()}, tables_(routers), known_(routers)
+    {
+        net_.on_send = [this](gossip_packet& packet) { return fill(packet); };
+        net_.on_receive = [this](std::size_t to, const gossip_packet& packet) {
+            for (const auto& it : packet.loads) {
+                note(to, it.target, it.in_flight, net_.now() - it.age);
+            }
+        };
+        for (std::size_t n = 0; n < routers; ++n) {
+            numbers_.emplace(gossip_net::id_of(n), n);
+            net_.start(n, domains);
+        }
+        net_.introduce_all();
+        run(10s);
+    }
+
+    /// Plays some seconds and prints the rates and ages.
+    void measure(duration length)
+    {
+        const auto packets_before = packets();
+        const auto bytes_before = bytes();
+        ages_.clear();
+        without_report_ = 0;
+        const auto start = std::chrono::steady_clock::now();
+        run(length);
+        const std::chrono::duration<double, std::micro> spent =
+            std::chrono::steady_clock::now() - start;
+        std::sort(ages_.begin(), ages_.end());
+        const auto seconds = std::chrono::duration<double>{length}.count();
+        const auto routers = static_cast<double>(net_.size());
+        const auto sent = static_cast<double>(packets() - packets_before);
+        const auto looks = static_cast<double>(ages_.size() + without_report_);
+        std::printf("bench=loads routers=%zu sent_bytes_per_s=%.0f packets_per_s=%.2f "
+                    "us_per_packet=%.1f cores_per_router=%.5f age_p50_ms=%.0f age_p95_ms=%.0f "
+                    "without_report=%.3f\n",
+                    net_.size(), static_cast<double>(bytes() - bytes_before) / routers / seconds,
+                    sent / routers / seconds, spent.count() / sent,
+                    spent.count() / 1e6 / routers / seconds, age(0.5), age(0.95),
+                    static_cast<double>(without_report_) / looks);
+    }
+
+private:
+    using age_ms = std::chrono::duration<double, std::milli>;
+
+    std::size_t fill(gossip_packet& packet)
+    {
+        auto& table = tables_[numbers_.at(packet.from)];
+        packet.loads = table.newest(loads_that_fit(encode(packet).size()), net_.now());
+        // The receiver's share of the work.
+        const auto bytes = encode(packet);
+        static_cast<void>(decode_gossip(bytes));
+        return bytes.size() + ip_udp_header;
+    }
+
+    void note(std::size_t router, target_key target, std::uint32_t load, time_point said_at)
+    {
+        if (tables_[router].take(target, load, said_at)) {
+            known_[router][target] = said_at;
+        }
+    }
+
+    void run(duration length)
+    {
+        constexpr duration step{1ms};
+        const auto routers = net_.size();
+        const auto chance = answers_per_second * static_cast<double>(routers) * 1e-3;
+        for (duration passed{}; passed < length; passed += step) {
+            net_.run(step);
+            for (auto left = chance; left > 0; left -= 1) {
+                if (random_.fraction() < left) {
+                    answer();
+                }
+            }
+        }
+    }
+
+    /// A target answers a router, which looks at the loads of all targets for its next choice.
+    void answer()
+    {
+        const auto router = random_.below(net_.size());
+        note(router, target_key{static_cast<std::uint32_t>(random_.below(net_.size()) + 1)},
+             static_cast<std::uint32_t>(random_.below(20)), net_.now());
+        for (std::size_t n = 1; n <= net_.size(); n += 1 + net_.size() / 16) {
+            const auto it = known_[router].find(target_key{static_cast<std::uint32_t>(n)});
+            if (it == known_[router].end()) {
+                ++without_report_;
+            }
+            else {
+                ages_.push_back(age_ms{net_.now() - it->second}.count());
+            }
+        }
+    }
+
+    double age(double share) const
+    {
+        return ages_.empty() ? -1 : ages_[static_cast<std::size_t>(share * (ages_.size() - 1.0))];
+    }
+
+    std::uint64_t packets() const
+    {
+        std::uint64_t all = 0;
+        for (std::size_t n = 0; n < net_.size(); ++n) {
+            all += net_.sent(n).packets;
+        }
+        return all;
+    }
+
+    std::uint64_t bytes() const
+    {
+        std::uint64_t all = 0;
+        for (std::size_t n = 0; n < net_.size(); ++n) {
+            all += net_.sent(n).bytes;
+        }
+        return all;
+    }
+
+    gossip_net net_;
+    random_source random_{1};
+    std::map<router_id, std::size_t> numbers_;
+    std::vector<load_table> tables_;
+    std::vector<std::map<target_key, time_point>> known_;
+    std::vector<double> ages_;
+    std::size_t without_report_ = 0;
+};
+
+} // namespace
+} // namespace endivelatch
+
+int main(int argc, char** argv)
+{
+    using namespace endivelatch;
+    std::vector<std::size_t> sizes;
+    for (int n = 1; n < argc; ++n) {
+        sizes.push_back(std::strtoul(argv[n], nullptr, 10));
+    }
+    if (sizes.empty()) {
+        sizes = {6, 30, 100, 300};
+    }
+    for (const auto routers : sizes) {
+        loads_model model{routers};
+        model.measure(std::chrono::seconds{10});
+        std::fflush(stdout);
+    }
+}
--- a/include/endivelatch/entry/entry_process_life.hpp
+++ b/include/endivelatch/entry/entry_process_life.hpp
@@ -206,7 +206,7 @@
     }
     const auto& copy = copy_of(query->kind);
     if (query->from_watcher && !copy.watches_store()) {
-        peers_.respond(id, 503, {}, {});
+        peers_.respond(id, copy_answer::no_watcher, {}, {});
         return;
     }
     if (answer_copy(id, *query)) {
@@ -214,7 +214,9 @@
     }
     if (!copy.mirror().is_connected()) {
         // Another router may know more.
-        peers_.respond(id, query->from_watcher ? 503 : 204, {}, {});
+        const auto status =
+            query->from_watcher ? copy_answer::no_watcher : copy_answer::nothing_newer;
+        peers_.respond(id, status, {}, {});
         return;
     }
     copy_waiters_.emplace(id,
@@ -231,15 +233,10 @@
     if (!copy.mirror().is_known() || copy.mirror().revision() <= query.newer_than) {
         return false;
     }
-    using client = mirror_client<Protocol>;
-    const http_headers headers{{"Content-Type", "application/json"}};
-    const auto changes =
-        query.takes_changes ? copy.to_changes(query.newer_than) : std::optional<std::string>{};
-    if (changes) {
-        peers_.respond(id, client::changes_status, headers, *changes);
-        return true;
-    }
-    peers_.respond(id, client::ok_status, headers, copy.to_page());
+    const auto answer = copy.answer(query, largest_small_copy(settings_.link_rate));
+    router_.metrics().add("copies_sent", 1, "status=\"" + std::to_string(answer.status) + '"');
+    router_.metrics().add("copy_bytes_sent", answer.body.size());
+    peers_.respond(id, answer.status, {{"Content-Type", "application/json"}}, answer.body);
     return true;
 }
 
@@ -254,7 +251,7 @@
         if (loop_->now() < waiter.until) {
             return false;
         }
-        peers_.respond(id, 204, {}, {});
+        peers_.respond(id, copy_answer::nothing_newer, {}, {});
         return true;
     });
     if (!copy_waiters_.empty()) {
--- a/include/endivelatch/entry/entry_settings.hpp
+++ b/include/endivelatch/entry/entry_settings.hpp
@@ -34,6 +34,8 @@
     std::optional<endpoint> metrics;
     std::vector<endpoint> seeds; ///< Gossip addresses of other routers; may be stale.
     endpoint store;              ///< The platform's store.
+    /// Rate of this VM's network link, in bytes a second; zero when it is not known.
+    std::uint64_t link_rate = 0;
     entry_bounds bounds;
 };
 
--- a/include/endivelatch/entry/fleet_view.hpp
+++ b/include/endivelatch/entry/fleet_view.hpp
@@ -15,6 +15,13 @@
 
 namespace endivelatch {
 
+/// Returns the times of the membership among entry routers: shorter than those of the product's own
+/// routers, since callers keep entry addresses for a few seconds only.
+membership_settings entry_membership_settings();
+
+/// Returns how many load reports a packet takes beside what it holds, given its encoded size.
+std::size_t loads_that_fit(std::size_t packet_size);
+
 /// What a fleet view reports. All must be set.
 struct fleet_view_callbacks {
     std::function<void()> on_members_changed;
--- a/include/endivelatch/entry/mirror_client.hpp
+++ b/include/endivelatch/entry/mirror_client.hpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <type_traits>
@@ -85,31 +86,27 @@
         }
     }
 
-    /// Returns the copy as it is passed to other routers.
-    std::string to_page() const
+    /// Returns the answer to a router that asks for what is newer than its own copy; a small one
+    /// has up to `largest_small` bytes.
+    copy_answer answer(const copy_query& query, std::size_t largest_small) const
     {
+        const auto changes =
+            query.takes_changes ? mirror_.changes_since(query.newer_than) : std::nullopt;
+        const auto size = changes ? size_of(*changes) : size_of(mirror_.objects());
+        if (query.small_only && size > largest_small) {
+            return {copy_answer::too_large, {}};
+        }
+        if (changes) {
+            return {copy_answer::changes, Protocol::write_changes(*changes)};
+        }
         object_page page;
         page.revision = mirror_.revision();
         for (const auto& [name, object] : mirror_.objects()) {
             page.objects.push_back(object);
         }
-        return Protocol::write_page(page);
-    }
-
-    /// Returns what changed since a revision, as it is passed to other routers; nothing when only
-    /// the whole copy tells.
-    std::optional<std::string> to_changes(store_revision since) const
-    {
-        const auto changes = mirror_.changes_since(since);
-        return changes ? std::optional{Protocol::write_changes(*changes)} : std::nullopt;
+        return {copy_answer::whole, Protocol::write_page(page)};
     }
 
-    /// Status of an answer that holds a whole copy, and of one that holds changes.
-    static constexpr int ok_status = 200;
-    static constexpr int changes_status = 206;
-    /// Status of the answer of a router that has nothing newer.
-    static constexpr int nothing_newer_status = 204;
-
     /// Longest wait for a list or a copy; the store answers in milliseconds when it is well.
     static constexpr duration list_timeout{1'500'000};
     /// Time beyond its wait after which a watch counts as lost.
@@ -178,7 +175,7 @@
         watches_store_ = false;
         call_ = calls_->call({watcher,
                               "GET",
-                              write_copy_query({kind_, mirror_.revision(), true, true}),
+                              write_copy_query({kind_, mirror_.revision(), true, true, true}),
                               {},
                               peer_wait + follow_slack},
                              [this, e](call_outcome&& outcome) {
@@ -190,7 +187,7 @@
     void take_watcher_answer(const call_outcome& outcome, const watch_objects& e)
     {
         const auto* reply = std::get_if<call_reply>(&outcome);
-        const bool has_nothing = reply != nullptr && reply->status == nothing_newer_status;
+        const bool has_nothing = reply != nullptr && reply->status == copy_answer::nothing_newer;
         if (has_nothing || (reply != nullptr && take_copy(*reply))) {
             apply(mirror_.take(object_changes{{}, mirror_.revision()}, now()));
             return;
@@ -210,10 +207,10 @@
             apply(mirror_.take_copy(std::get<copy>(std::move(read)), now()));
             return true;
         };
-        if (reply.status == changes_status) {
+        if (reply.status == copy_answer::changes) {
             return take_read(Protocol::read_changes(reply.body));
         }
-        return reply.status == ok_status && take_read(Protocol::read_page(reply.body));
+        return reply.status == copy_answer::whole && take_read(Protocol::read_page(reply.body));
     }
 
     void watch_store(const watch_objects& e)
@@ -238,7 +235,7 @@
                                      log("store_history_gone", "");
                                      apply(mirror_.history_gone(now()));
                                  }
-                                 else if (reply.status != ok_status) {
+                                 else if (reply.status != store_ok_status) {
                                      note_failure("status " + std::to_string(reply.status));
                                  }
                                  else {
@@ -309,7 +306,7 @@
         const bool was_connected = mirror_.is_connected();
         calls_->call({peer,
                       "GET",
-                      write_copy_query({kind_, mirror_.revision(), false, true}),
+                      write_copy_query({kind_, mirror_.revision(), false, true, was_connected}),
                       {},
                       peer_wait + watch_slack},
                      [this, peer, was_connected](call_outcome&& outcome) {
@@ -321,20 +318,34 @@
     void take_peer_answer(const endpoint& peer, const call_outcome& outcome, bool was_connected)
     {
         const auto* reply = std::get_if<call_reply>(&outcome);
-        if (reply != nullptr && reply->status == nothing_newer_status) {
+        if (reply != nullptr && reply->status == copy_answer::nothing_newer) {
             // A peer that has lost the store, too, answers at once.
             peer_timer_.start(peer_pause);
             return;
         }
         const auto former = mirror_.revision();
+        if (was_connected && reply != nullptr && reply->status == copy_answer::too_large) {
+            watch_again();
+            return;
+        }
         if (reply == nullptr || !take_copy(*reply)) {
             log("copy_not_read", peer.address);
             peer_timer_.start(peer_retry);
             return;
         }
         log("copy_read", peer.address);
-        if (was_connected && mirror_.revision() > former && mirror_.is_connected() && call_) {
-            // The store's watch should have brought this; it may be silent.
+        if (was_connected && mirror_.revision() > former) {
+            watch_again();
+            return;
+        }
+        watch_peer();
+    }
+
+    /// Breaks off the watch, which should have brought what a router already holds: it may be
+    /// silent.
+    void watch_again()
+    {
+        if (mirror_.is_connected() && call_) {
             calls_->cancel(*call_);
             call_.reset();
             note_failure("a router holds a newer copy");
@@ -351,6 +362,26 @@
                               .add("reason", reason));
     }
 
+    /// Returns the size of the contents, about that of their encoding.
+    static std::size_t size_of(const object_changes& changes)
+    {
+        std::size_t size = 0;
+        for (const auto& it : changes.changes) {
+            size += it.object.name.size() + it.object.content.size();
+        }
+        return size;
+    }
+
+    static std::size_t size_of(const std::map<std::string, mirrored_object>& objects)
+    {
+        std::size_t size = 0;
+        for (const auto& [name, object] : objects) {
+            size += name.size() + object.content.size();
+        }
+        return size;
+    }
+
+    static constexpr int store_ok_status = 200;
     static constexpr int history_gone_status = 410;
     static constexpr duration shortest_timer{1'000};
 
--- a/src/entry/fleet_view.cpp
+++ b/src/entry/fleet_view.cpp
@@ -44,7 +44,9 @@
     return self;
 }
 
-membership_settings make_settings()
+} // namespace
+
+membership_settings entry_membership_settings()
 {
     membership_settings all;
     all.period = std::chrono::milliseconds{400};
@@ -54,7 +56,11 @@
     return all;
 }
 
-} // namespace
+std::size_t loads_that_fit(std::size_t packet_size)
+{
+    const auto room = max_gossip_size - std::min(packet_size, max_gossip_size);
+    return std::min(room / load_report_size, load_table::most_in_packet);
+}
 
 std::string_view to_string(object_kind kind)
 {
@@ -72,7 +78,8 @@
 fleet_view::fleet_view(event_loop& loop, const entry_settings& settings, incarnation run,
                        fleet_view_callbacks callbacks)
     : loop_{&loop}, callbacks_{std::move(callbacks)}, self_{settings.id},
-      membership_{make_self(settings, run), make_settings(), stable_hash(settings.id.str())},
+      membership_{make_self(settings, run), entry_membership_settings(),
+                  stable_hash(settings.id.str())},
       socket_{loop, [this](const endpoint& from, std::string_view bytes) { receive(from, bytes); }},
       address_{settings.gossip}, timer_{loop, [this] { tick(); }}, random_{stable_hash(self_.str())}
 {
@@ -209,9 +216,7 @@
 
 void fleet_view::act(send_packet& e)
 {
-    const auto room = max_gossip_size - std::min(encode(e.packet).size(), max_gossip_size);
-    e.packet.loads =
-        loads_.newest(std::min(room / load_report_size, load_table::most_in_packet), loop_->now());
+    e.packet.loads = loads_.newest(loads_that_fit(encode(e.packet).size()), loop_->now());
     const auto bytes = encode(e.packet);
     bytes_sent_ += bytes.size();
     socket_.send(e.to, bytes);
--- a/tests/entry/bounded_sink_test.cpp
+++ b/tests/entry/bounded_sink_test.cpp
@@ -77,7 +77,8 @@
     EXPECT_EQ(read->newer_than, query.newer_than);
     EXPECT_FALSE(read->from_watcher);
     EXPECT_TRUE(read_copy_query("/copy/targets?newer-than=1&from-watcher")->from_watcher);
-    const copy_query full{object_kind::targets, store_revision{7}, true, true};
+    const copy_query full{object_kind::targets, store_revision{7}, true, true, true};
+    EXPECT_TRUE(read_copy_query(write_copy_query(full))->small_only);
     EXPECT_TRUE(read_copy_query(write_copy_query(full))->from_watcher);
     EXPECT_TRUE(read_copy_query(write_copy_query(full))->takes_changes);
     EXPECT_FALSE(read_copy_query("/copy/targets?newer-than=1&from-watcher")->takes_changes);
--- a/tests/membership/gossip_net.hpp
+++ b/tests/membership/gossip_net.hpp
@@ -123,7 +123,8 @@
     std::function<bool(std::size_t, std::size_t)> is_cut; ///< Of a pair of routers.
     std::function<void(std::size_t, const membership_effect&)> observe;
     std::function<std::size_t(gossip_packet&)> on_send; ///< Returns the size on the wire.
-    std::function<void(membership&)> configure;         ///< Called for each new run.
+    std::function<void(std::size_t, const gossip_packet&)> on_receive; ///< Before the receiver.
+    std::function<void(membership&)> configure;                        ///< Called for each new run.
 
 private:
     struct node {
@@ -216,6 +217,9 @@
             return;
         }
         if (it.packet) {
+            if (on_receive) {
+                on_receive(it.to, *it.packet);
+            }
             carry_out(it.to, receiver.router->handle(*it.packet, address_of(it.from), now_));
         }
         else if (receiver.router->next_timer() <= now_) {
--- a/tests/platform_adapter/settings_test.cpp
+++ b/tests/platform_adapter/settings_test.cpp
@@ -21,6 +21,8 @@
 Frontend = "10.1.0.40:8227"
 Readiness = "10.1.0.40:8220"
 Directory = "10.1.0.40:8224"
+[Limits]
+LinkMbps = 10.0
 [Bounds]
 GraceS = 8
 RetryBudgetRatio = 0.25
@@ -45,6 +47,7 @@
     // Seeds name another port of the machines; routers gossip on the internal ports.
     EXPECT_EQ(settings.seeds.at(1), (endpoint{"10.2.0.29", 7340}));
     EXPECT_EQ(settings.store, (endpoint{"10.200.1.7", 8223}));
+    EXPECT_EQ(settings.link_rate, 1'250'000U);
     EXPECT_DOUBLE_EQ(settings.bounds.retry_share, 0.25);
     EXPECT_DOUBLE_EQ(settings.bounds.retry_burst, 52);
     EXPECT_DOUBLE_EQ(settings.bounds.load_bound, 3);
--- a/tests/serve/serve_fleet.cpp
+++ b/tests/serve/serve_fleet.cpp
@@ -84,7 +84,8 @@
         << address(router, 0).address << "\"\nInternalPorts = [" << port_base_ + 4 << ","
         << port_base_ + ports_per_router << "]\nSeeds = [\"" << address(1, 0).address
         << ":1\"]\n[Listen]\nFrontend = " << text(0) << "\nReadiness = " << text(1)
-        << "\nDirectory = " << text(2) << "\n[Bounds]\nGraceS = 4\nRetryBudgetRatio = 0.2\n"
+        << "\nDirectory = " << text(2)
+        << "\n[Limits]\nLinkMbps = 10.0\n[Bounds]\nGraceS = 4\nRetryBudgetRatio = 0.2\n"
         << "RetrySlack = 50\nCapFactor = 2\nttl_max_s = 5\n[Platform]\nAddress = \""
         << store.address().address << ":" << store.address().port << "\"\n";
     return out.str();
--- a/tests/serve/serve_test.cpp
+++ b/tests/serve/serve_test.cpp
@@ -268,6 +268,33 @@
     run_until(fleet.loop, only_seats_watch);
 }
 
+TEST_F(ten_routers, read_a_large_configuration_from_the_store)
+{
+    run_until(fleet.loop, [&] {
+        run_for(fleet.loop, milliseconds{50});
+        return fleet.store.watches() == fewest_watch_seats * 2;
+    });
+    std::vector<std::string> keys{"second"};
+    for (int n = 0; n < 2'000; ++n) {
+        keys.push_back("key-of-some-length-" + std::to_string(n));
+    }
+    const std::size_t size = keys.size() * keys.back().size();
+    fleet.configure(2, keys);
+    std::uint64_t sent = 0;
+    for (int n = 1; n <= 10; ++n) {
+        int tries = 0;
+        run_until(fleet.loop, [&] {
+            const auto attempt = std::to_string(n) + "-" + std::to_string(++tries);
+            return fleet.ask(n, "/unsafe/x", attempt, "second").status == 200;
+        });
+        const auto text = fleet.get(fleet.metrics(n), "/metrics").body;
+        const std::string name = "\nendivelatch_copy_bytes_sent ";
+        const auto at = text.find(name);
+        sent += at == std::string::npos ? 0 : std::stoull(text.substr(at + name.size()));
+    }
+    EXPECT_LT(sent, size); // Passed on, it would have been sent six times.
+}
+
 TEST_F(two_routers, tell_callers_of_each_other_until_one_stops)
 {
     const auto list = [&] { return fleet.get(fleet.entries(1), "/-/resolve?Name=h&Zone=z").body; };
