--- a/include/endivelatch/traffic/target_choice.hpp
+++ b/include/endivelatch/traffic/target_choice.hpp
@@ -60,13 +60,15 @@
 inline constexpr double service_queue_share = 1.0;
 /// Requests that every target may hold above the bound, so that small pools are usable.
 inline constexpr double load_allowance = 2;
-/// Share of the bound that is used when the load was reported just now, and when the report is as
-/// old as `stale_report` or there is none: many routers with the same old report fill a target
+/// Share of the bound that is used up to the age `fresh_report` of the report of a target's load,
+/// and from `stale_report` on or without one: many routers with the same old report fill a target
 /// together.
 inline constexpr double fresh_bound_share = 0.9;
 inline constexpr double stale_bound_share = 0.7;
-/// Age of a report at which it says little; requests last about as long.
-inline constexpr duration stale_report{1'000'000};
+/// The median age of reports in a fleet of eight routers.
+inline constexpr duration fresh_report{400'000};
+/// Requests last about a second, so that an older report says little.
+inline constexpr duration stale_report{1'400'000};
 
 /// Shared tokens that a target must lack before they are fetched from another one.
 inline constexpr std::uint32_t least_fetched_tokens = 500;
--- a/src/traffic/target_choice.cpp
+++ b/src/traffic/target_choice.cpp
@@ -102,8 +102,9 @@
 double bound_share(const target_state& target, time_point now)
 {
     const auto age = target.report_age(now).value_or(stale_report);
-    const auto staleness = std::chrono::duration<double>{std::min(age, stale_report)} /
-                           std::chrono::duration<double>{stale_report};
+    const auto staleness =
+        std::chrono::duration<double>{std::clamp(age, fresh_report, stale_report) - fresh_report} /
+        std::chrono::duration<double>{stale_report - fresh_report};
     return fresh_bound_share - (fresh_bound_share - stale_bound_share) * staleness;
 }
 
