Send loads of targets in packets of their own

Change: beside the packets of the membership each router of a fleet above eight sends its newest reports to two others every 200 ms.

--- a/bench/loads.cpp
+++ b/bench/loads.cpp
@@ -86,6 +86,27 @@
         }
     }
 
+    /// Each router sends a packet of loads to others, as `fleet_view` does.
+    void send_loads()
+    {
+        for (std::size_t from = 0; from < net_.size(); ++from) {
+            gossip_packet packet;
+            packet.kind = gossip_kind::loads;
+            packet.from = gossip_net::id_of(from);
+            packet.loads = tables_[from].newest(load_table::most_in_packet, net_.now());
+            const auto bytes = encode(packet);
+            for (std::size_t n = 0; n < loads_receivers; ++n) {
+                ++extra_packets_;
+                extra_bytes_ += bytes.size() + ip_udp_header;
+                static_cast<void>(decode_gossip(bytes));
+                const auto to = random_.below(net_.size());
+                for (const auto& it : packet.loads) {
+                    note(to, it.target, it.in_flight, net_.now() - it.age);
+                }
+            }
+        }
+    }
+
     void run(duration length)
     {
         constexpr duration step{1ms};
@@ -93,6 +114,9 @@
         const auto chance = answers_per_second * static_cast<double>(routers) * 1e-3;
         for (duration passed{}; passed < length; passed += step) {
             net_.run(step);
+            if (passed % loads_interval < step && routers > loads_from_routers) {
+                send_loads();
+            }
             for (auto left = chance; left > 0; left -= 1) {
                 if (random_.fraction() < left) {
                     answer();
@@ -125,7 +149,7 @@
 
     std::uint64_t packets() const
     {
-        std::uint64_t all = 0;
+        std::uint64_t all = extra_packets_;
         for (std::size_t n = 0; n < net_.size(); ++n) {
             all += net_.sent(n).packets;
         }
@@ -134,7 +158,7 @@
 
     std::uint64_t bytes() const
     {
-        std::uint64_t all = 0;
+        std::uint64_t all = extra_bytes_;
         for (std::size_t n = 0; n < net_.size(); ++n) {
             all += net_.sent(n).bytes;
         }
@@ -147,6 +171,8 @@
     std::vector<load_table> tables_;
     std::vector<std::map<target_key, time_point>> known_;
     std::vector<double> ages_;
+    std::uint64_t extra_packets_ = 0;
+    std::uint64_t extra_bytes_ = 0;
     std::size_t without_report_ = 0;
 };
 
--- a/include/endivelatch/entry/fleet_view.hpp
+++ b/include/endivelatch/entry/fleet_view.hpp
@@ -22,6 +22,13 @@
 /// Returns how many load reports a packet takes beside what it holds, given its encoded size.
 std::size_t loads_that_fit(std::size_t packet_size);
 
+/// Time between two packets of loads beside those of the membership, and how many routers get each.
+/// In fleets of some hundred routers reports reach half of them within half a second.
+inline constexpr duration loads_interval{200'000};
+inline constexpr std::size_t loads_receivers = 2;
+/// Fleets up to this size need no packets of loads: the membership's reach every router in time.
+inline constexpr std::size_t loads_from_routers = 8;
+
 /// What a fleet view reports. All must be set.
 struct fleet_view_callbacks {
     std::function<void()> on_members_changed;
@@ -87,6 +94,7 @@
 private:
     void receive(const endpoint& from, std::string_view bytes);
     void take_loads(const std::vector<load_report>& loads);
+    void send_loads();
     void tick();
     void apply(membership_effects&& effects);
     void act(send_packet& e);
@@ -105,6 +113,9 @@
     endpoint address_;
     std::vector<endpoint> seeds_;
     timer timer_;
+    timer loads_timer_;
+    std::uint64_t loads_number_ = 0; ///< Of the packets of loads sent so far.
+    incarnation run_;
     time_point started_at_{};
     std::map<router_id, bool> ready_;
     load_table loads_;
--- a/include/endivelatch/membership/gossip.hpp
+++ b/include/endivelatch/membership/gossip.hpp
@@ -32,6 +32,7 @@
     indirect_ack = 4, ///< Answers a `ping_request`: `subject` is alive.
     page_request = 5, ///< Asks for the members whose id follows `cursor`.
     page = 6,         ///< Members that follow; an empty `cursor` marks the last page.
+    loads = 7,        ///< Only loads of targets; not for the membership.
 };
 
 /// Highest configuration that a router knows, and a digest of its object versions.
--- a/src/entry/fleet_view.cpp
+++ b/src/entry/fleet_view.cpp
@@ -81,7 +81,8 @@
       membership_{make_self(settings, run), entry_membership_settings(),
                   stable_hash(settings.id.str())},
       socket_{loop, [this](const endpoint& from, std::string_view bytes) { receive(from, bytes); }},
-      address_{settings.gossip}, timer_{loop, [this] { tick(); }}, random_{stable_hash(self_.str())}
+      address_{settings.gossip}, timer_{loop, [this] { tick(); }},
+      loads_timer_{loop, [this] { send_loads(); }}, run_{run}, random_{stable_hash(self_.str())}
 {
     add_seeds(settings.seeds);
 }
@@ -91,6 +92,7 @@
     started_at_ = loop_->now();
     auto faults = socket_.start(address_);
     tick();
+    loads_timer_.start(loads_interval);
     return faults;
 }
 
@@ -179,6 +181,9 @@
         return;
     }
     take_loads(value_of(packet).loads);
+    if (value_of(packet).kind == gossip_kind::loads) {
+        return;
+    }
     apply(membership_.handle(value_of(packet), from, loop_->now()));
 }
 
@@ -196,6 +201,32 @@
     }
 }
 
+void fleet_view::send_loads()
+{
+    loads_timer_.start(loads_interval);
+    const auto live = membership_.live();
+    if (live.size() <= loads_from_routers) {
+        return;
+    }
+    gossip_packet packet;
+    packet.kind = gossip_kind::loads;
+    packet.from = self_;
+    packet.from_run = run_;
+    packet.number = ++loads_number_;
+    packet.loads = loads_.newest(load_table::most_in_packet, loop_->now());
+    if (packet.loads.empty()) {
+        return;
+    }
+    const auto bytes = encode(packet);
+    for (std::size_t n = 0; n < loads_receivers; ++n) {
+        const auto& to = live[random_.below(live.size())];
+        if (to.id != self_) {
+            bytes_sent_ += bytes.size();
+            socket_.send(to.gossip, bytes);
+        }
+    }
+}
+
 void fleet_view::tick()
 {
     apply(membership_.tick(loop_->now()));
--- a/src/wire/gossip_codec.cpp
+++ b/src/wire/gossip_codec.cpp
@@ -200,7 +200,7 @@
 gossip_packet from_struct(thrift_wire::gossip_packet&& it)
 {
     constexpr auto first = static_cast<std::int32_t>(gossip_kind::ping);
-    constexpr auto last = static_cast<std::int32_t>(gossip_kind::page);
+    constexpr auto last = static_cast<std::int32_t>(gossip_kind::loads);
     gossip_packet out;
     out.kind = checked<gossip_kind>(it.kind, first, last);
     out.from = router_id{std::move(it.sender)};
