--- a/src/membership/membership_receive.cpp
+++ b/src/membership/membership_receive.cpp
@@ -78,6 +78,8 @@
     case gossip_kind::page:
         take_page(packet, now);
         return;
+    case gossip_kind::loads: // Read by the caller of `handle`.
+        return;
     }
 }
 
