Tell a lagging watcher from a silent one

Of 467 store_lost lines 272 said that a router held a newer copy: a follower whose watcher paused after a change (up to 0.4 s) took its watch for silent after 0.4 s and turned to the store. Configurations of some 15 KB were read from the store by all routers.

Change: the watch has 0.8 s to bring what a peer holds; a follower takes the peer's copy and goes on following. A copy may keep the link busy for 20 ms.

--- a/include/endivelatch/entry/copy_query.hpp
+++ b/include/endivelatch/entry/copy_query.hpp
@@ -39,8 +39,8 @@
 /// rate of its link in bytes a second. Some twenty routers may ask one of them at once.
 std::size_t largest_small_copy(std::uint64_t link_rate);
 
-/// Time for which a small copy may keep the link busy: for twenty routers 0.2 s.
-inline constexpr duration small_copy_time{10'000};
+/// Time for which a small copy may keep the link busy: for twenty routers 0.4 s.
+inline constexpr duration small_copy_time{20'000};
 /// Largest small copy when the rate of the link is not known, in bytes.
 inline constexpr std::size_t default_small_copy = 65'536;
 
--- a/include/endivelatch/entry/mirror_client.hpp
+++ b/include/endivelatch/entry/mirror_client.hpp
@@ -111,8 +111,9 @@
     static constexpr duration list_timeout{1'500'000};
     /// Time beyond its wait after which a watch counts as lost.
     static constexpr duration watch_slack{800'000};
-    /// Time that the store's watch has to bring a change that a peer already holds.
-    static constexpr duration peer_delay{400'000};
+    /// Time that the watch has to bring a change that a peer already holds: twice the longest pause
+    /// after a change. Targets that leave are to be known within 3 s.
+    static constexpr duration peer_delay{800'000};
     /// Longest wait of a peer for a newer copy; then another peer is asked.
     static constexpr duration peer_wait{700'000};
     /// Time beyond it after which a watcher that is followed counts as lost.
@@ -345,6 +346,9 @@
     /// silent.
     void watch_again()
     {
+        if (!watches_store_ && mirror_.is_connected()) {
+            return; // The router that is followed lags behind, not the store.
+        }
         if (mirror_.is_connected() && call_) {
             calls_->cancel(*call_);
             call_.reset();
