--- a/include/endivelatch/entry/fleet_view.hpp
+++ b/include/endivelatch/entry/fleet_view.hpp
@@ -74,9 +74,9 @@
     /// Returns the addresses for peers of the other live routers.
     std::vector<endpoint> live_peers() const;
 
-    /// Returns the address for peers of a router that watches the store, or nothing when this
-    /// router has to watch it itself.
-    std::optional<endpoint> watcher_to_follow();
+    /// Returns the addresses for peers of the routers that watch the store, in random order; none
+    /// when this router has to watch it itself.
+    std::vector<endpoint> watchers_to_follow();
 
     /// Returns whether the members are still being read, shortly after the start.
     bool is_joining() const;
--- a/include/endivelatch/entry/mirror_client.hpp
+++ b/include/endivelatch/entry/mirror_client.hpp
@@ -23,8 +23,8 @@
 struct mirror_client_callbacks {
     std::function<void()> on_updated;
     std::function<std::vector<endpoint>()> peers; ///< Addresses of the other live routers.
-    /// Address of a router that watches the store; nothing when this one has to.
-    std::function<std::optional<endpoint>()> watcher_to_follow;
+    /// Addresses of the routers that watch the store, in any order; none when this one has to.
+    std::function<std::vector<endpoint>()> watchers_to_follow;
     /// Whether other routers are still being looked for, so that it is unknown who watches.
     std::function<bool()> is_joining;
     std::function<void(log_event&&)> on_log;
@@ -153,13 +153,8 @@
             join_timer_.start(join_pause);
             return;
         }
-        const auto watcher = mirror_.is_connected() ? callbacks_.watcher_to_follow() : std::nullopt;
-        if (watcher) {
-            follow(*watcher, e);
-        }
-        else {
-            watch_store(e);
-        }
+        follow(mirror_.is_connected() ? callbacks_.watchers_to_follow() : std::vector<endpoint>{},
+               e);
     }
 
     void on_join_timer()
@@ -169,25 +164,37 @@
         }
     }
 
-    /// Waits for a newer copy at a router that watches the store; without an answer this router
-    /// watches the store itself for one round.
-    void follow(const endpoint& watcher, const watch_objects& e)
+    /// Waits for a newer copy at the last of the routers. Without an answer this router watches the
+    /// store itself for one round; so it does when all of them say that they do not watch it.
+    void follow(std::vector<endpoint>&& watchers, const watch_objects& e)
     {
+        if (watchers.empty()) {
+            watch_store(e);
+            return;
+        }
         watches_store_ = false;
-        call_ = calls_->call({watcher,
-                              "GET",
-                              write_copy_query({kind_, mirror_.revision(), true, true, true}),
-                              {},
-                              peer_wait + follow_slack},
-                             [this, e](call_outcome&& outcome) {
-                                 call_.reset();
-                                 take_watcher_answer(outcome, e);
-                             });
+        const auto watcher = watchers.back();
+        watchers.pop_back();
+        call_ =
+            calls_->call({watcher,
+                          "GET",
+                          write_copy_query({kind_, mirror_.revision(), true, true, true}),
+                          {},
+                          peer_wait + follow_slack},
+                         [this, e, others = std::move(watchers)](call_outcome&& outcome) mutable {
+                             call_.reset();
+                             take_watcher_answer(outcome, std::move(others), e);
+                         });
     }
 
-    void take_watcher_answer(const call_outcome& outcome, const watch_objects& e)
+    void take_watcher_answer(const call_outcome& outcome, std::vector<endpoint>&& others,
+                             const watch_objects& e)
     {
         const auto* reply = std::get_if<call_reply>(&outcome);
+        if (reply != nullptr && reply->status == copy_answer::no_watcher) {
+            follow(std::move(others), e);
+            return;
+        }
         const bool has_nothing = reply != nullptr && reply->status == copy_answer::nothing_newer;
         if (has_nothing || (reply != nullptr && take_copy(*reply))) {
             apply(mirror_.take(object_changes{{}, mirror_.revision()}, now()));
--- a/src/entry/fleet_view.cpp
+++ b/src/entry/fleet_view.cpp
@@ -160,15 +160,17 @@
     return !seeds_.empty() && !membership_.is_synced() && loop_->now() - started_at_ < longest_join;
 }
 
-std::optional<endpoint> fleet_view::watcher_to_follow()
+std::vector<endpoint> fleet_view::watchers_to_follow()
 {
-    const auto seats = choose_watch_seats(membership_.live());
-    const bool is_watcher =
-        std::any_of(seats.begin(), seats.end(), [this](const auto& it) { return it.id == self_; });
-    if (is_watcher || seats.empty()) {
-        return std::nullopt;
+    std::vector<endpoint> addresses;
+    for (const auto& it : choose_watch_seats(membership_.live())) {
+        if (it.id == self_) {
+            return {};
+        }
+        addresses.push_back(it.link);
     }
-    return seats[random_.below(seats.size())].link;
+    std::shuffle(addresses.begin(), addresses.end(), random_);
+    return addresses;
 }
 
 void fleet_view::receive(const endpoint& from, std::string_view bytes)
