--- a/src/endivelatch/main.cpp
+++ b/src/endivelatch/main.cpp
@@ -11,7 +11,7 @@
 constexpr const char* usage = R"(endivelatch - a router fleet between callers and their back ends.
 
 Usage:
-  endivelatch (serve|router|admin|entry|timeline|check) [<argument>...]
+  endivelatch (serve|router|admin|entry|timeline|explain|check) [<argument>...]
   endivelatch (-h | --help)
   endivelatch --version
 
@@ -21,6 +21,7 @@
   admin     Reads and changes the fleet's configuration.
   entry     Asks the fleet which addresses a caller should connect to.
   timeline  Merges the events of routers and files into one causal order.
+  explain   Explains from logs why a request ended as it did.
   check     Checks settings and configuration documents without a fleet.
 
 Run "endivelatch COMMAND --help" for a command's options.
@@ -33,7 +34,8 @@
     static const std::map<std::string, command_function> all{
         {"serve", endivelatch::run_serve},       {"router", endivelatch::run_router},
         {"admin", endivelatch::run_admin},       {"entry", endivelatch::run_entry},
-        {"timeline", endivelatch::run_timeline}, {"check", endivelatch::run_check},
+        {"timeline", endivelatch::run_timeline}, {"explain", endivelatch::run_explain},
+        {"check", endivelatch::run_check},
     };
     return all;
 }
