Add endivelatch status, checks of settings and configuration files, and log levels

status asks routers' metrics and says what is to be looked at: routers that do not answer, are not ready, lost the store, hold an older configuration, know fewer members or dropped log lines. check boot and check configuration read a file as serve does and print every fault with its place. SIGUSR1 logs more, SIGUSR2 less.

The gauges ready, store_connected{kind} and copy_revision{kind} are new.

--- a/include/endivelatch/entry/entry_process.hpp
+++ b/include/endivelatch/entry/entry_process.hpp
@@ -4,6 +4,7 @@
 #include "endivelatch/entry/bounded_sink.hpp"
 #include "endivelatch/entry/call_client.hpp"
 #include "endivelatch/entry/fleet_view.hpp"
+#include "endivelatch/entry/log_level.hpp"
 #include "endivelatch/entry/mirror_client.hpp"
 #include "endivelatch/entry/request_server.hpp"
 #include "endivelatch/entry/settings_file.hpp"
@@ -87,6 +88,7 @@
     void publish_ready();
     void housekeep();
     void reload(std::string_view cause);
+    void set_log_level(spdlog::level::level_enum level);
     void stop();
     void check_stop();
     void write(log_event&& event);
@@ -143,6 +145,8 @@
     signal_watcher on_terminate_;
     signal_watcher on_interrupt_;
     signal_watcher on_hang_up_;
+    signal_watcher on_log_more_;
+    signal_watcher on_log_less_;
 };
 
 } // namespace endivelatch
--- a/include/endivelatch/entry/entry_process_life.hpp
+++ b/include/endivelatch/entry/entry_process_life.hpp
@@ -98,7 +98,9 @@
       flush_timer_{loop, [this] { sink_->write_buffered(); }}, on_terminate_{loop, SIGTERM,
                                                                              [this] { stop(); }},
       on_interrupt_{loop, SIGINT, [this] { stop(); }}, on_hang_up_{loop, SIGHUP,
-                                                                   [this] { reload("signal"); }}
+                                                                   [this] { reload("signal"); }},
+      on_log_more_{loop, SIGUSR1, [this] { set_log_level(louder(log_->level())); }},
+      on_log_less_{loop, SIGUSR2, [this] { set_log_level(quieter(log_->level())); }}
 {
     file_.read();
 }
@@ -147,7 +149,7 @@
 template <entry_protocol Protocol>
 void entry_process<Protocol>::write(log_event&& event)
 {
-    log_->info(event.to_line());
+    log_->log(level_of(event), event.to_line());
     if (!std::exchange(is_flush_posted_, true)) {
         loop_->post([this] {
             is_flush_posted_ = false;
@@ -386,6 +388,13 @@
         reload("file");
     }
     auto& metrics = router_.metrics();
+    metrics.set("ready", is_ready() ? 1 : 0);
+    for (const auto kind : {object_kind::configuration, object_kind::targets}) {
+        const auto labels = "kind=\"" + std::string{to_string(kind)} + '"';
+        const auto& mirror = copy_of(kind).mirror();
+        metrics.set("store_connected", mirror.is_connected() ? 1 : 0, labels);
+        metrics.set("copy_revision", static_cast<std::int64_t>(mirror.revision().value()), labels);
+    }
     metrics.set("requests_active", static_cast<std::int64_t>(router_.active()));
     metrics.set("caller_connections", static_cast<std::int64_t>(requests_.connections()));
     metrics.set("target_connections", static_cast<std::int64_t>(targets_.connections()));
@@ -414,6 +423,17 @@
     write(log_event{"settings_reloaded"}.add("cause", cause).add("changed", is_new ? 1 : 0));
 }
 
+template <entry_protocol Protocol>
+void entry_process<Protocol>::set_log_level(spdlog::level::level_enum level)
+{
+    // Said at the louder of both levels, so that it is always written.
+    const auto event =
+        log_event{"log_level"}.add("level", spdlog::level::to_string_view(level).data());
+    log_->set_level(spdlog::level::info);
+    write(log_event{event});
+    log_->set_level(level);
+}
+
 template <entry_protocol Protocol>
 void entry_process<Protocol>::stop()
 {
--- a/src/endivelatch/check_command.cpp
+++ b/src/endivelatch/check_command.cpp
@@ -3,6 +3,7 @@
 #include "setting_reader.hpp"
 
 #include "endivelatch/configuration/check.hpp"
+#include "platform/protocol.hpp"
 
 #include <fstream>
 #include <iostream>
@@ -17,11 +18,15 @@
 Usage:
   endivelatch check settings
   endivelatch check documents <name=file>...
+  endivelatch check boot <file>
+  endivelatch check configuration <file>
   endivelatch check (-h | --help)
 
 "settings" checks the environment variables of the router command.
 "documents" checks configuration objects, such as config/models=models.json, and their
 references to each other.
+"boot" checks a settings file of the serve command.
+"configuration" checks a traffic configuration of the serve command, as the store holds it.
 )";
 
 exit_code report(const findings& faults)
@@ -65,6 +70,37 @@
     return report(faults);
 }
 
+/// Returns the content of a file, or that it cannot be opened.
+result<std::string> read_whole(const std::string& path)
+{
+    std::ifstream in{path};
+    if (!in) {
+        return one_finding(path, "cannot be opened");
+    }
+    return std::string{std::istreambuf_iterator<char>{in}, {}};
+}
+
+exit_code check_boot(const std::string& path)
+{
+    const auto content = read_whole(path);
+    if (!has_value(content)) {
+        return report(findings_of(content));
+    }
+    const auto read = platform::protocol::read_settings(value_of(content));
+    return report(has_value(read) ? findings{} : findings_of(read));
+}
+
+exit_code check_configuration(const std::string& path)
+{
+    const auto content = read_whole(path);
+    if (!has_value(content)) {
+        return report(findings_of(content));
+    }
+    const mirrored_object object{path, {}, value_of(content)};
+    const auto read = platform::protocol::read_configuration(object);
+    return report(has_value(read) ? findings{} : findings_of(read));
+}
+
 } // namespace
 
 exit_code run_check(const std::vector<std::string>& args)
@@ -77,6 +113,12 @@
     if (flags.at("settings").asBool()) {
         return check_settings_of_router();
     }
+    if (flags.at("boot").asBool()) {
+        return check_boot(flags.at("<file>").asString());
+    }
+    if (flags.at("configuration").asBool()) {
+        return check_configuration(flags.at("<file>").asString());
+    }
     return check_files(flags.at("<name=file>").asStringList());
 }
 
--- a/src/endivelatch/command.hpp
+++ b/src/endivelatch/command.hpp
@@ -37,6 +37,7 @@
 exit_code run_admin(const std::vector<std::string>& args);
 exit_code run_entry(const std::vector<std::string>& args);
 exit_code run_timeline(const std::vector<std::string>& args);
+exit_code run_status(const std::vector<std::string>& args);
 exit_code run_explain(const std::vector<std::string>& args);
 exit_code run_check(const std::vector<std::string>& args);
 
--- a/src/endivelatch/main.cpp
+++ b/src/endivelatch/main.cpp
@@ -11,17 +11,18 @@
 constexpr const char* usage = R"(endivelatch - a router fleet between callers and their back ends.
 
 Usage:
-  endivelatch (serve|router|admin|entry|timeline|explain|check) [<argument>...]
+  endivelatch (serve|status|explain|router|admin|entry|timeline|check) [<argument>...]
   endivelatch (-h | --help)
   endivelatch --version
 
 Commands:
   serve     Runs one entry router on the users' platform.
+  status    Shows the state of a fleet of entry routers.
+  explain   Explains from logs why a request ended as it did.
   router    Runs one router of the fleet.
   admin     Reads and changes the fleet's configuration.
   entry     Asks the fleet which addresses a caller should connect to.
   timeline  Merges the events of routers and files into one causal order.
-  explain   Explains from logs why a request ended as it did.
   check     Checks settings and configuration documents without a fleet.
 
 Run "endivelatch COMMAND --help" for a command's options.
@@ -32,10 +33,10 @@
 const std::map<std::string, command_function>& commands()
 {
     static const std::map<std::string, command_function> all{
-        {"serve", endivelatch::run_serve},       {"router", endivelatch::run_router},
-        {"admin", endivelatch::run_admin},       {"entry", endivelatch::run_entry},
-        {"timeline", endivelatch::run_timeline}, {"explain", endivelatch::run_explain},
-        {"check", endivelatch::run_check},
+        {"serve", endivelatch::run_serve},     {"status", endivelatch::run_status},
+        {"router", endivelatch::run_router},   {"admin", endivelatch::run_admin},
+        {"entry", endivelatch::run_entry},     {"timeline", endivelatch::run_timeline},
+        {"explain", endivelatch::run_explain}, {"check", endivelatch::run_check},
     };
     return all;
 }
--- /dev/null
+++ b/tests/entry/log_level_test.cpp
@@ -0,0 +1,29 @@
+#include "endivelatch/entry/log_level.hpp"
+
+#include <gtest/gtest.h>
+
+namespace endivelatch {
+namespace {
+
+using level = spdlog::level::level_enum;
+
+TEST(log_level, tells_lost_requests_from_served_ones)
+{
+    EXPECT_EQ(level_of(log_event{"target_chosen"}), level::info);
+    EXPECT_EQ(level_of(log_event{"store_lost"}), level::warn);
+    EXPECT_EQ(level_of(log_event{"settings_kept"}), level::err);
+    EXPECT_EQ(level_of(log_event{"request_finished"}.add("outcome", "complete")), level::info);
+    EXPECT_EQ(level_of(log_event{"request_finished"}.add("outcome", "caller_left")), level::info);
+    EXPECT_EQ(level_of(log_event{"request_finished"}.add("outcome", "unknown")), level::warn);
+}
+
+TEST(log_level, changes_by_steps_and_stays_within_its_ends)
+{
+    EXPECT_EQ(quieter(level::info), level::warn);
+    EXPECT_EQ(quieter(quieter(quieter(level::info))), level::err);
+    EXPECT_EQ(louder(level::err), level::warn);
+    EXPECT_EQ(louder(louder(louder(level::err))), level::info);
+}
+
+} // namespace
+} // namespace endivelatch
--- a/tests/serve/serve_fleet.cpp
+++ b/tests/serve/serve_fleet.cpp
@@ -99,12 +99,28 @@
         std::vector<std::string>{ENDIVELATCH_PROGRAM, "serve", "--boot=" + settings_path(router),
                                  "--metrics=" + metrics_address.address + ":" +
                                      std::to_string(metrics_address.port)},
-        dir_ + "/log-" + std::to_string(router));
+        log_path(router));
+}
+
+std::string serve_fleet::log_path(int router) const
+{
+    return dir_ + "/log-" + std::to_string(router);
+}
+
+std::pair<std::string, int> serve_fleet::run(const std::vector<std::string>& arguments)
+{
+    std::vector<std::string> command{ENDIVELATCH_PROGRAM};
+    command.insert(command.end(), arguments.begin(), arguments.end());
+    const auto path = dir_ + "/command";
+    failures::child_process process{command, path};
+    run_until(loop, [&] { return process.exit_code() >= 0; });
+    std::ifstream in{path};
+    return {std::string{std::istreambuf_iterator<char>{in}, {}}, process.exit_code()};
 }
 
 std::string serve_fleet::log(int router) const
 {
-    std::ifstream in{dir_ + "/log-" + std::to_string(router)};
+    std::ifstream in{log_path(router)};
     std::ostringstream content;
     content << in.rdbuf();
     return content.str();
--- a/tests/serve/serve_fleet.hpp
+++ b/tests/serve/serve_fleet.hpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace endivelatch::serve {
@@ -67,6 +68,12 @@
     /// Returns what a router has logged so far.
     std::string log(int router) const;
 
+    /// Returns the path of a router's log.
+    std::string log_path(int router) const;
+
+    /// Runs a command of the program to its end; returns what it printed and its exit code.
+    std::pair<std::string, int> run(const std::vector<std::string>& arguments);
+
     /// Returns the path of a router's settings file.
     std::string settings_path(int router) const;
 
--- a/tests/serve/serve_test.cpp
+++ b/tests/serve/serve_test.cpp
@@ -242,6 +242,74 @@
     EXPECT_NE(text.find("endivelatch_request_duration_seconds_count 1"), std::string::npos);
 }
 
+TEST_F(one_router, tells_its_state_to_the_status_command)
+{
+    fleet.ask(1, "/unsafe/x", "a1");
+    const auto address = fleet.metrics(1);
+    const auto metrics = address.address + ":" + std::to_string(address.port);
+    std::string text;
+    run_until(fleet.loop, [&] {
+        const auto [printed, code] = fleet.run({"status", "--metrics=" + metrics});
+        text = printed;
+        return code == 0; // Gauges are set once a second.
+    });
+    EXPECT_NE(text.find(metrics), std::string::npos) << text;
+    fleet.routers[1]->kill();
+    const auto [printed, code] = fleet.run({"status", "--metrics=" + metrics});
+    EXPECT_EQ(code, 1);
+    EXPECT_NE(printed.find("does not answer"), std::string::npos) << printed;
+}
+
+TEST_F(one_router, writes_what_the_explain_command_needs)
+{
+    fleet.ask(1, "/unsafe/x", "a1");
+    fleet.ask(1, "/unsafe/x", "a2", "no such key");
+    const auto served = fleet.run({"explain", "a1", fleet.log_path(1)});
+    EXPECT_EQ(served.second, 0);
+    EXPECT_NE(served.first.find("outcome: answered whole with 200"), std::string::npos)
+        << served.first;
+    const auto refused = fleet.run({"explain", "a2", fleet.log_path(1)});
+    EXPECT_NE(refused.first.find("refused on arrival with 401 (unknown key)"), std::string::npos)
+        << refused.first;
+    EXPECT_EQ(fleet.run({"explain", "a3", fleet.log_path(1)}).second, 1);
+}
+
+TEST_F(one_router, has_its_settings_and_configuration_checked)
+{
+    EXPECT_EQ(fleet.run({"check", "boot", fleet.settings_path(1)}).second, 0);
+    const auto path = fleet.settings_path(1) + ".bad";
+    std::ofstream{path} << "NodeName = 5\n[Bounds]\nGraceS = -1\n";
+    const auto settings = fleet.run({"check", "boot", path});
+    EXPECT_EQ(settings.second, 2);
+    for (const auto* place : {"NodeName", "Bounds.GraceS", "Listen.Frontend"}) {
+        EXPECT_NE(settings.first.find(place), std::string::npos) << settings.first;
+    }
+    std::ofstream{path} << fleet.store.objects("config").at("main").at("Spec").dump();
+    const auto good = fleet.run({"check", "configuration", path});
+    EXPECT_EQ(good.second, 0) << good.first;
+    std::ofstream{path} << R"({"Version":"x"})";
+    const auto bad = fleet.run({"check", "configuration", path});
+    EXPECT_EQ(bad.second, 2);
+    EXPECT_NE(bad.first.find("Version"), std::string::npos) << bad.first;
+}
+
+TEST_F(one_router, logs_less_and_more_when_it_is_told_to)
+{
+    const auto wait_for = [&](const std::string& text) {
+        run_until(fleet.loop, [&] { return fleet.log(1).find(text) != std::string::npos; });
+    };
+    fleet.routers[1]->send(SIGUSR2);
+    wait_for("event=log_level level=warning");
+    fleet.ask(1, "/unsafe/x", "a1");
+    fleet.ask(1, "/unsafe/x", "a2", "no such key");
+    wait_for("event=request_refused request=a2");
+    EXPECT_EQ(fleet.log(1).find("request=a1"), std::string::npos);
+    fleet.routers[1]->send(SIGUSR1);
+    wait_for("event=log_level level=info");
+    fleet.ask(1, "/unsafe/x", "a3");
+    wait_for("event=request_finished request=a3");
+}
+
 struct ten_routers : testing::Test {
     serve_fleet fleet{10};
 };
