--- /dev/null
+++ b/tests/entry/loads_that_fit_test.cpp
@@ -0,0 +1,30 @@
+#include "endivelatch/entry/fleet_view.hpp"
+#include "endivelatch/wire/codec.hpp"
+
+#include <limits>
+#include <string>
+
+#include <gtest/gtest.h>
+
+namespace endivelatch {
+namespace {
+
+TEST(loads_that_fit, keep_every_packet_within_its_size)
+{
+    for (std::size_t filled = 0; filled < max_gossip_size; filled += 13) {
+        gossip_packet packet;
+        packet.from = router_id{std::string(filled, 'x')};
+        const auto room = loads_that_fit(encode(packet).size());
+        EXPECT_LE(room, load_table::most_in_packet);
+        for (std::size_t n = 0; n < room; ++n) {
+            constexpr auto largest = std::numeric_limits<std::uint32_t>::max();
+            packet.loads.push_back({target_key{largest / 2}, largest / 2, load_table::lifetime});
+        }
+        if (encode(packet).size() > max_gossip_size) {
+            EXPECT_TRUE(packet.loads.empty()) << filled;
+        }
+    }
+}
+
+} // namespace
+} // namespace endivelatch
