--- a/tests/serve/serve_fleet.cpp
+++ b/tests/serve/serve_fleet.cpp
@@ -26,7 +26,7 @@
 
 } // namespace
 
-serve_fleet::serve_fleet(int count)
+serve_fleet::serve_fleet(int count, paths way)
     : callers{loop,
               {[this](outgoing_id id, answer_head&& head) {
                    answers[id].status = head.status;
@@ -48,7 +48,17 @@
     for (int n = 1; n <= replica_count; ++n) {
         replicas.push_back(
             std::make_unique<standins::replica_standin>(loop, "i-" + std::to_string(n), "pool"));
-        store.put("servers", replicas.back()->id(), replicas.back()->registration());
+    }
+    if (way == paths::through_proxies) {
+        const endpoint any_port{"127.0.0.1", 0};
+        store_proxy = std::make_unique<standins::tcp_proxy>(loop, any_port, store.address());
+        for (const auto& it : replicas) {
+            replica_proxies.push_back(
+                std::make_unique<standins::tcp_proxy>(loop, any_port, it->address()));
+        }
+    }
+    for (std::size_t n = 0; n < replicas.size(); ++n) {
+        store.put("servers", replicas[n]->id(), registration(n));
     }
     configure(1);
     for (int n = 1; n <= count; ++n) {
@@ -68,6 +78,20 @@
     return {"127.0.0." + std::to_string(router), static_cast<std::uint16_t>(port_base_ + offset)};
 }
 
+endpoint serve_fleet::store_address() const
+{
+    return store_proxy ? endpoint{"127.0.0.1", store_proxy->port()} : store.address();
+}
+
+nlohmann::json serve_fleet::registration(std::size_t replica, const std::string& state) const
+{
+    auto object = replicas[replica]->registration(state);
+    if (!replica_proxies.empty()) {
+        object["Address"] = "127.0.0.1:" + std::to_string(replica_proxies[replica]->port());
+    }
+    return object;
+}
+
 std::string serve_fleet::settings_path(int router) const
 {
     return dir_ + "/boot-" + std::to_string(router) + ".toml";
@@ -87,7 +111,7 @@
         << "\nDirectory = " << text(2)
         << "\n[Limits]\nLinkMbps = 10.0\n[Bounds]\nGraceS = 4\nRetryBudgetRatio = 0.2\n"
         << "RetrySlack = 50\nCapFactor = 2\nttl_max_s = 5\n[Platform]\nAddress = \""
-        << store.address().address << ":" << store.address().port << "\"\n";
+        << store_address().address << ":" << store_address().port << "\"\n";
     return out.str();
 }
 
--- a/tests/serve/serve_fleet.hpp
+++ b/tests/serve/serve_fleet.hpp
@@ -3,6 +3,7 @@
 #include "failures/child_process.hpp"
 #include "standins/replica_standin.hpp"
 #include "standins/store_standin.hpp"
+#include "standins/tcp_proxy.hpp"
 
 #include "endivelatch/entry/connection_pool.hpp"
 
@@ -27,7 +28,13 @@
 /// Entry routers as processes before stand-ins of the store and of replicas in this process.
 class serve_fleet {
 public:
-    explicit serve_fleet(int routers);
+    /// How routers reach the store and the replicas.
+    enum class paths {
+        direct,
+        through_proxies, ///< Which can delay, silence and cut them.
+    };
+
+    explicit serve_fleet(int routers, paths way = paths::direct);
     ~serve_fleet();
     serve_fleet(const serve_fleet&) = delete;
     serve_fleet(serve_fleet&&) = delete;
@@ -65,6 +72,9 @@
     endpoint entries(int router) const { return address(router, 2); }
     endpoint metrics(int router) const { return address(router, 3); }
 
+    /// Returns what a replica writes into the store about itself; numbers begin with 0.
+    nlohmann::json registration(std::size_t replica, const std::string& state = "ready") const;
+
     /// Returns what a router has logged so far.
     std::string log(int router) const;
 
@@ -83,12 +93,15 @@
     event_loop loop;
     standins::store_standin store{loop};
     std::vector<std::unique_ptr<standins::replica_standin>> replicas;
+    std::unique_ptr<standins::tcp_proxy> store_proxy; ///< Null on direct paths.
+    std::vector<std::unique_ptr<standins::tcp_proxy>> replica_proxies;
     std::map<int, std::unique_ptr<failures::child_process>> routers;
     std::map<outgoing_id, caller_answer> answers;
     connection_pool callers;
 
 private:
     endpoint address(int router, int offset) const;
+    endpoint store_address() const;
 
     int router_count_;
     int port_base_;
--- a/tests/standins/replica_standin.hpp
+++ b/tests/standins/replica_standin.hpp
@@ -31,6 +31,9 @@
     /// Returns its registration for the store.
     nlohmann::json registration(const std::string& state = "ready") const;
 
+    /// Returns the address that it listens on.
+    endpoint address() const { return server_.listening(); }
+
     /// Returns its name in the store.
     const std::string& id() const { return id_; }
 
--- a/tests/standins/tcp_proxy.hpp
+++ b/tests/standins/tcp_proxy.hpp
@@ -4,6 +4,7 @@
 
 #include "endivelatch/net/io_watcher.hpp"
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <list>
@@ -69,6 +70,16 @@
     /// Stops carrying bytes on connections accepted from now on, or carries them again.
     void silence_new(bool is_silent) { silences_new_ = is_silent; }
 
+    /// Holds back what the server sends, or carries it again: the path is cut one way.
+    void mute_server(bool is_muted)
+    {
+        mutes_server_ = is_muted;
+        for (const auto& it : links_) {
+            it->flush(client_side);
+            it->update();
+        }
+    }
+
     /// Closes all open connections.
     void cut_open()
     {
@@ -86,12 +97,15 @@
 private:
     /// Bytes read ahead per direction.
     static constexpr std::size_t max_buffered = 65'536;
+    /// Index of the side that connected to the proxy.
+    static constexpr std::size_t client_side = 0;
 
     /// One side of a connection.
     struct side {
         int fd = -1;
         std::string out; ///< Bytes to be written to it.
         std::size_t delayed = 0;
+        time_point due{};       ///< When the last of the delayed bytes is written.
         bool has_ended = false; ///< No more bytes can be read from it.
         std::unique_ptr<io_watcher> watcher;
     };
@@ -141,7 +155,11 @@
             }
             const std::size_t other = 1 - index;
             sides.at(other).delayed += static_cast<std::size_t>(n);
-            proxy->delays_.after(proxy->delay_,
+            // Bytes keep their order also when the delay becomes shorter.
+            const auto now = proxy->loop_->now();
+            auto& due = sides.at(other).due;
+            due = std::max(due, now + proxy->delay_);
+            proxy->delays_.after(due - now,
                                  [self = shared_from_this(), other,
                                   bytes = std::string{buf.data(), static_cast<std::size_t>(n)}] {
                                      self->sides.at(other).delayed -= bytes.size();
@@ -154,7 +172,8 @@
         void flush(std::size_t index)
         {
             side& it = sides.at(index);
-            if (is_silent || is_closed || it.out.empty()) {
+            const bool is_muted = index == client_side && proxy->mutes_server_;
+            if (is_silent || is_closed || is_muted || it.out.empty()) {
                 return;
             }
             const auto n = send(it.fd, it.out.data(), it.out.size(), MSG_NOSIGNAL);
@@ -200,8 +219,9 @@
                     return;
                 }
                 const bool has_room = other.out.size() + other.delayed < max_buffered;
-                it.watcher->watch(
-                    {!is_silent && !it.has_ended && has_room, !is_silent && !it.out.empty()});
+                const bool is_muted = i == client_side && proxy->mutes_server_;
+                it.watcher->watch({!is_silent && !it.has_ended && has_room,
+                                   !is_silent && !is_muted && !it.out.empty()});
             }
         }
     };
@@ -249,6 +269,7 @@
     int fd_ = -1;
     bool is_bound_ = false;
     bool silences_new_ = false;
+    bool mutes_server_ = false;
     duration delay_{};
     std::uint64_t accepted_ = 0;
     std::unique_ptr<io_watcher> acceptor_;
