--- a/src/endivelatch/serve_command.cpp
+++ b/src/endivelatch/serve_command.cpp
@@ -62,6 +62,10 @@
 
 exit_code run_serve(const std::vector<std::string>& args)
 {
+    // Until their watchers exist, these signals must not end the process.
+    for (const int it : {SIGPIPE, SIGHUP, SIGUSR1, SIGUSR2}) {
+        std::signal(it, SIG_IGN);
+    }
     const auto parsed = parse_arguments(usage, args);
     if (const auto* code = std::get_if<exit_code>(&parsed)) {
         return *code;
@@ -73,7 +77,6 @@
         print_findings(findings_of(settings));
         return exit_code::usage;
     }
-    std::signal(SIGPIPE, SIG_IGN);
     const auto sink = make_standard_sink();
     event_loop loop;
     entry_process<platform::protocol> process{loop, value_of(settings), file.path(), sink,
--- a/src/endivelatch/status_command.cpp
+++ b/src/endivelatch/status_command.cpp
@@ -73,6 +73,7 @@
         return exit_code::usage;
     }
     std::vector<router_status> fleet;
+    fleet.reserve(addresses.size());
     for (const auto& it : addresses) {
         fleet.push_back(ask(it));
     }
--- a/src/timeline/explanation.cpp
+++ b/src/timeline/explanation.cpp
@@ -94,7 +94,7 @@
 /// Adds what a line of the request shows about its fate.
 void add_cause(const log_event& it, std::vector<std::string>& causes)
 {
-    const auto name = it.name();
+    const auto& name = it.name();
     if (name == "target_chosen") {
         causes.push_back(describe_choice(it));
     }
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -61,6 +61,8 @@
     // Faults of paths.
     void spoil_path(standins::tcp_proxy& proxy);
 
+    /// Returns whether the process takes signals: before its program runs, the system ends it.
+    bool takes_signals(int router) const;
     void recover();
     void check_exits();
     void note(const std::string& fault) { ++faults_[fault]; }
