--- a/include/endivelatch/entry/mirror_client.hpp
+++ b/include/endivelatch/entry/mirror_client.hpp
@@ -13,7 +13,6 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <type_traits>
 #include <utility>
 #include <vector>
 
@@ -206,19 +205,22 @@
     /// Takes what a router answered: its copy, or what changed in it. Returns whether it was read.
     bool take_copy(const call_reply& reply)
     {
-        const auto take_read = [this](auto&& read) {
-            if (!has_value(read)) {
-                log("copy_not_read", to_string(findings_of(read)));
-                return false;
-            }
-            using copy = std::remove_cvref_t<decltype(value_of(read))>;
-            apply(mirror_.take_copy(std::get<copy>(std::move(read)), now()));
-            return true;
-        };
         if (reply.status == copy_answer::changes) {
-            return take_read(Protocol::read_changes(reply.body));
+            return take_read_copy(Protocol::read_changes(reply.body));
         }
-        return reply.status == copy_answer::whole && take_read(Protocol::read_page(reply.body));
+        return reply.status == copy_answer::whole &&
+               take_read_copy(Protocol::read_page(reply.body));
+    }
+
+    template <class Copy>
+    bool take_read_copy(result<Copy>&& read)
+    {
+        if (!has_value(read)) {
+            log("copy_not_read", to_string(findings_of(read)));
+            return false;
+        }
+        apply(mirror_.take_copy(std::get<Copy>(std::move(read)), now()));
+        return true;
     }
 
     void watch_store(const watch_objects& e)
