Choose watching routers in every failure domain

Change: each domain has a watcher (one of 16 routers), at least four in all; followers ask those of their own domain first.

--- a/include/endivelatch/entry/fleet_view.hpp
+++ b/include/endivelatch/entry/fleet_view.hpp
@@ -74,8 +74,8 @@
     /// Returns the addresses for peers of the other live routers.
     std::vector<endpoint> live_peers() const;
 
-    /// Returns the addresses for peers of the routers that watch the store, in random order; none
-    /// when this router has to watch it itself.
+    /// Returns the addresses for peers of the routers that watch the store, in random order but
+    /// with those of the own failure domain last; none when this router has to watch it itself.
     std::vector<endpoint> watchers_to_follow();
 
     /// Returns whether the members are still being read, shortly after the start.
@@ -108,6 +108,7 @@
     event_loop* loop_;
     fleet_view_callbacks callbacks_;
     router_id self_;
+    domain_id domain_;
     membership membership_;
     udp_socket socket_;
     endpoint address_;
--- a/include/endivelatch/entry/mirror_client.hpp
+++ b/include/endivelatch/entry/mirror_client.hpp
@@ -22,7 +22,7 @@
 struct mirror_client_callbacks {
     std::function<void()> on_updated;
     std::function<std::vector<endpoint>()> peers; ///< Addresses of the other live routers.
-    /// Addresses of the routers that watch the store, in any order; none when this one has to.
+    /// Addresses of the routers that watch the store, the best last; none when this one has to.
     std::function<std::vector<endpoint>()> watchers_to_follow;
     /// Whether other routers are still being looked for, so that it is unknown who watches.
     std::function<bool()> is_joining;
--- a/include/endivelatch/entry/watch_seats.hpp
+++ b/include/endivelatch/entry/watch_seats.hpp
@@ -19,8 +19,8 @@
 /// second.
 inline constexpr std::size_t routers_per_seat = 16;
 
-/// Returns the watchers among the live routers: the first in the rendezvous order, the same for
-/// all routers with the same view.
+/// Returns the watchers among the live routers: the first of each failure domain in the rendezvous
+/// order, so that followers need not cross domains. All routers with the same view get the same.
 std::vector<member> choose_watch_seats(const std::vector<member>& live);
 
 } // namespace endivelatch
--- a/src/entry/fleet_view.cpp
+++ b/src/entry/fleet_view.cpp
@@ -77,7 +77,7 @@
 
 fleet_view::fleet_view(event_loop& loop, const entry_settings& settings, incarnation run,
                        fleet_view_callbacks callbacks)
-    : loop_{&loop}, callbacks_{std::move(callbacks)}, self_{settings.id},
+    : loop_{&loop}, callbacks_{std::move(callbacks)}, self_{settings.id}, domain_{settings.domain},
       membership_{make_self(settings, run), entry_membership_settings(),
                   stable_hash(settings.id.str())},
       socket_{loop, [this](const endpoint& from, std::string_view bytes) { receive(from, bytes); }},
@@ -162,14 +162,19 @@
 
 std::vector<endpoint> fleet_view::watchers_to_follow()
 {
+    auto seats = choose_watch_seats(membership_.live());
+    const auto is_self = [this](const member& it) { return it.id == self_; };
+    if (std::any_of(seats.begin(), seats.end(), is_self)) {
+        return {};
+    }
+    std::shuffle(seats.begin(), seats.end(), random_);
+    std::stable_partition(seats.begin(), seats.end(),
+                          [this](const member& it) { return it.domain != domain_; });
     std::vector<endpoint> addresses;
-    for (const auto& it : choose_watch_seats(membership_.live())) {
-        if (it.id == self_) {
-            return {};
-        }
+    addresses.reserve(seats.size());
+    for (const auto& it : seats) {
         addresses.push_back(it.link);
     }
-    std::shuffle(addresses.begin(), addresses.end(), random_);
     return addresses;
 }
 
--- a/src/entry/watch_seats.cpp
+++ b/src/entry/watch_seats.cpp
@@ -4,24 +4,54 @@
 #include "endivelatch/routing/rendezvous.hpp"
 
 #include <algorithm>
+#include <map>
+#include <set>
 #include <span>
 
 namespace endivelatch {
 
-std::vector<member> choose_watch_seats(const std::vector<member>& live)
+namespace {
+
+/// Returns the first routers in the rendezvous order.
+std::vector<member> first_of(const std::vector<member>& routers, std::size_t count)
 {
-    if (live.size() <= most_watching_all) {
-        return live;
-    }
-    const auto seats = std::max(fewest_watch_seats, live.size() / routers_per_seat);
     const auto place = stable_hash("watch seats");
-    const std::span<const member> nodes{live};
+    const std::span<const member> nodes{routers};
     std::vector<member> chosen;
-    for (const auto it : rendezvous_top(place, nodes, seats,
+    for (const auto it : rendezvous_top(place, nodes, std::min(count, routers.size()),
                                         [](const member& m) { return stable_hash(m.id.str()); })) {
-        chosen.push_back(live[it]);
+        chosen.push_back(routers[it]);
     }
     return chosen;
 }
 
+} // namespace
+
+std::vector<member> choose_watch_seats(const std::vector<member>& live)
+{
+    if (live.size() <= most_watching_all) {
+        return live;
+    }
+    std::map<domain_id, std::vector<member>> domains;
+    for (const auto& it : live) {
+        domains[it.domain].push_back(it);
+    }
+    std::vector<member> seats;
+    for (const auto& [domain, routers] : domains) {
+        const auto count = std::max<std::size_t>(routers.size() / routers_per_seat, 1);
+        const auto chosen = first_of(routers, count);
+        seats.insert(seats.end(), chosen.begin(), chosen.end());
+    }
+    std::set<router_id> seated;
+    for (const auto& it : seats) {
+        seated.insert(it.id);
+    }
+    for (const auto& it : first_of(live, fewest_watch_seats)) {
+        if (seats.size() < fewest_watch_seats && seated.insert(it.id).second) {
+            seats.push_back(it);
+        }
+    }
+    return seats;
+}
+
 } // namespace endivelatch
--- a/tests/entry/watch_seats_test.cpp
+++ b/tests/entry/watch_seats_test.cpp
@@ -41,6 +41,21 @@
     EXPECT_EQ(choose_watch_seats(make_fleet(1'700)).size(), 106U);
 }
 
+TEST(watch_seats, lie_in_every_failure_domain)
+{
+    auto fleet = make_fleet(90);
+    for (std::size_t n = 0; n < fleet.size(); ++n) {
+        fleet[n].domain = domain_id{"domain-" + std::to_string(n % 4)};
+    }
+    std::set<domain_id> domains;
+    const auto seats = choose_watch_seats(fleet);
+    for (const auto& it : seats) {
+        domains.insert(it.domain);
+    }
+    EXPECT_EQ(seats.size(), 4U);
+    EXPECT_EQ(domains.size(), 4U);
+}
+
 TEST(watch_seats, a_lost_router_moves_one_seat_at_most)
 {
     auto fleet = make_fleet(90);
