--- a/include/endivelatch/entry/mirror_client.hpp
+++ b/include/endivelatch/entry/mirror_client.hpp
@@ -70,7 +70,8 @@
         newer_peer_ = peer;
         newer_revision_ = revision;
         if (!peer_timer_.is_active()) {
-            peer_timer_.start(peer_delay);
+            peer_timer_.start(kind_ == object_kind::targets ? targets_peer_delay
+                                                            : configuration_peer_delay);
         }
     }
 
@@ -110,9 +111,11 @@
     static constexpr duration list_timeout{1'500'000};
     /// Time beyond its wait after which a watch counts as lost.
     static constexpr duration watch_slack{800'000};
-    /// Time that the watch has to bring a change that a peer already holds: twice the longest pause
-    /// after a change. Targets that leave are to be known within 3 s.
-    static constexpr duration peer_delay{800'000};
+    /// Time that the watch has to bring a change of the configuration that a peer already holds.
+    static constexpr duration configuration_peer_delay{400'000};
+    /// The same for targets, which change often: twice the longest pause after a change. Those that
+    /// leave are to be known within 3 s.
+    static constexpr duration targets_peer_delay{800'000};
     /// Longest wait of a peer for a newer copy; then another peer is asked.
     static constexpr duration peer_wait{700'000};
     /// Time beyond it after which a watcher that is followed counts as lost.
