--- a/include/endivelatch/entry/copy_query.hpp
+++ b/include/endivelatch/entry/copy_query.hpp
@@ -44,9 +44,8 @@
 /// Largest small copy when the rate of the link is not known, in bytes.
 inline constexpr std::size_t default_small_copy = 65'536;
 
-/// Returns the path and query, such as `/copy/targets?newer-than=7`; `&from-watcher`, `&changes`
-/// and
-/// `&small` may follow, in this order.
+/// Returns the path and query, such as `/copy/targets?newer-than=7`. The words `&from-watcher`,
+/// `&changes` and `&small` may follow, in this order.
 std::string write_copy_query(const copy_query& query);
 
 /// Returns the query, or nothing when the path is another one.
--- a/include/endivelatch/entry/entry_process_life.hpp
+++ b/include/endivelatch/entry/entry_process_life.hpp
@@ -426,11 +426,8 @@
 template <entry_protocol Protocol>
 void entry_process<Protocol>::set_log_level(spdlog::level::level_enum level)
 {
-    // Said at the louder of both levels, so that it is always written.
-    const auto event =
-        log_event{"log_level"}.add("level", spdlog::level::to_string_view(level).data());
-    log_->set_level(spdlog::level::info);
-    write(log_event{event});
+    log_->set_level(spdlog::level::info); // So that the change itself is written.
+    write(log_event{"log_level"}.add("level", spdlog::level::to_string_view(level).data()));
     log_->set_level(level);
 }
 
--- a/include/endivelatch/mirror/object_mirror.hpp
+++ b/include/endivelatch/mirror/object_mirror.hpp
@@ -152,7 +152,7 @@
     random_source random_;
     std::map<std::string, mirrored_object> objects_;
     std::map<std::string, time_point> absent_; ///< Removed objects that may come back, until when.
-    std::map<std::string, store_revision> removed_; ///< Removed objects by the time of removal.
+    std::map<std::string, store_revision> removed_; ///< When each was removed.
     store_revision removed_since_;       ///< All removals after this revision are remembered.
     std::vector<mirrored_object> pages_; ///< Pages read so far of the list under way.
     std::optional<store_revision> list_revision_; ///< Of its first page.
