--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -50,6 +50,7 @@
     play(1);   // The proxy let later bytes pass earlier ones when its delay became shorter.
     play(102); // SIGHUP ended a router that had just been started.
     play(113); // The proxy again: bytes due at the same time.
+    play(242); // The proxy once more: bytes passed others that were due but not written yet.
     play(118); // A router was started with a settings file that the soak had spoiled.
 }
 
--- a/tests/standins/tcp_proxy.hpp
+++ b/tests/standins/tcp_proxy.hpp
@@ -154,12 +154,12 @@
                 return;
             }
             const std::size_t other = 1 - index;
+            // Bytes that are overdue may still wait for the timer.
+            const bool is_first = sides.at(other).delayed == 0;
             sides.at(other).delayed += static_cast<std::size_t>(n);
-            const auto now = proxy->loop_->now();
-            auto& due = sides.at(other).due;
-            const bool is_first = due <= now;
             // Bytes keep their order also when the delay becomes shorter.
-            due = std::max(due, now + proxy->delay_);
+            auto& due = sides.at(other).due;
+            due = std::max(due, proxy->loop_->now() + proxy->delay_);
             auto pass_on = [self = shared_from_this(), other,
                             bytes = std::string{buf.data(), static_cast<std::size_t>(n)}] {
                 self->sides.at(other).delayed -= bytes.size();
