Read from the store what a lagging watcher does not bring and a peer does not pass on

Cause, found on reading the change: a follower that learned of a newer large copy asked its holder, was told that it is too large to pass on (303), and then did nothing but go on following its watcher. While that watcher lagged behind, each round ended with "nothing newer".

--- a/include/endivelatch/entry/mirror_client.hpp
+++ b/include/endivelatch/entry/mirror_client.hpp
@@ -336,11 +336,11 @@
             peer_timer_.start(peer_pause);
             return;
         }
-        const auto former = mirror_.revision();
-        if (was_connected && reply != nullptr && reply->status == copy_answer::too_large) {
-            watch_again();
+        if (reply != nullptr && reply->status == copy_answer::too_large) {
+            read_from_store();
             return;
         }
+        const auto former = mirror_.revision();
         if (reply == nullptr || !take_copy(*reply)) {
             log("copy_not_read", peer.address);
             peer_timer_.start(peer_retry);
@@ -354,6 +354,23 @@
         watch_peer();
     }
 
+    /// Reads from the store what a router holds but does not pass on. A follower does not wait for
+    /// its watcher, which may lag behind.
+    void read_from_store()
+    {
+        if (!call_) {
+            peer_timer_.start(peer_retry); // Between two watches; then the router is asked again.
+            return;
+        }
+        if (watches_store_ || !mirror_.is_connected()) {
+            watch_again();
+            return;
+        }
+        calls_->cancel(*call_);
+        call_.reset();
+        watch_store({mirror_.revision(), peer_wait});
+    }
+
     /// Breaks off the watch, which should have brought what a router already holds: it may be
     /// silent.
     void watch_again()
