--- a/bench/loads.cpp
+++ b/bench/loads.cpp
@@ -79,10 +79,10 @@
         return bytes.size() + ip_udp_header;
     }
 
-    void note(std::size_t router, target_key target, std::uint32_t load, time_point said_at)
+    void note(std::size_t router, target_key target, std::uint32_t load, time_point reported_at)
     {
-        if (tables_[router].take(target, load, said_at)) {
-            known_[router][target] = said_at;
+        if (tables_[router].take(target, load, reported_at)) {
+            known_[router][target] = reported_at;
         }
     }
 
--- a/include/endivelatch/entry/entry_process_life.hpp
+++ b/include/endivelatch/entry/entry_process_life.hpp
@@ -99,8 +99,8 @@
                                                                              [this] { stop(); }},
       on_interrupt_{loop, SIGINT, [this] { stop(); }}, on_hang_up_{loop, SIGHUP,
                                                                    [this] { reload("signal"); }},
-      on_log_more_{loop, SIGUSR1, [this] { set_log_level(louder(log_->level())); }},
-      on_log_less_{loop, SIGUSR2, [this] { set_log_level(quieter(log_->level())); }}
+      on_log_more_{loop, SIGUSR1, [this] { set_log_level(more_verbose(log_->level())); }},
+      on_log_less_{loop, SIGUSR2, [this] { set_log_level(less_verbose(log_->level())); }}
 {
     file_.read();
 }
--- a/include/endivelatch/entry/log_level.hpp
+++ b/include/endivelatch/entry/log_level.hpp
@@ -12,7 +12,7 @@
 spdlog::level::level_enum level_of(const log_event& event);
 
 /// Returns the next level that logs more, or less, among info, warn and err.
-spdlog::level::level_enum louder(spdlog::level::level_enum level);
-spdlog::level::level_enum quieter(spdlog::level::level_enum level);
+spdlog::level::level_enum more_verbose(spdlog::level::level_enum level);
+spdlog::level::level_enum less_verbose(spdlog::level::level_enum level);
 
 } // namespace endivelatch
--- a/include/endivelatch/entry/watch_seats.hpp
+++ b/include/endivelatch/entry/watchers.hpp
@@ -14,13 +14,13 @@
 inline constexpr std::size_t most_watching_all = 8;
 /// Fewest watchers of a larger fleet: one is nearly always left when the store refuses a third of
 /// the routers.
-inline constexpr std::size_t fewest_watch_seats = 4;
+inline constexpr std::size_t fewest_watchers = 4;
 /// Routers for each watcher in a large fleet, so that a watcher answers some tens of calls a
 /// second.
-inline constexpr std::size_t routers_per_seat = 16;
+inline constexpr std::size_t routers_per_watcher = 16;
 
 /// Returns the watchers among the live routers: the first of each failure domain in the rendezvous
 /// order, so that followers need not cross domains. All routers with the same view get the same.
-std::vector<member> choose_watch_seats(const std::vector<member>& live);
+std::vector<member> choose_watchers(const std::vector<member>& live);
 
 } // namespace endivelatch
--- a/include/endivelatch/membership/gossip.hpp
+++ b/include/endivelatch/membership/gossip.hpp
@@ -43,7 +43,7 @@
     friend bool operator==(const config_summary&, const config_summary&) = default;
 };
 
-/// One packet. Updates, summaries and loads ride on every kind.
+/// One packet. Every kind carries updates, summaries and loads.
 struct gossip_packet {
     gossip_kind kind = gossip_kind::ping;
     router_id from;
--- a/include/endivelatch/membership/load_table.hpp
+++ b/include/endivelatch/membership/load_table.hpp
@@ -30,11 +30,11 @@
 /// The newest load that this router heard of each target, from the target or from other routers.
 ///
 /// Answers bring loads to the router that sent the request. Among many routers each gets few
-/// answers of a target, so the newest reports ride on the packets of the membership.
+/// answers of a target, so the packets of the membership carry the newest reports.
 class load_table {
 public:
     /// Takes a report; returns whether it is newer than the one known.
-    bool take(target_key target, std::uint32_t in_flight, time_point said_at);
+    bool take(target_key target, std::uint32_t in_flight, time_point reported_at);
 
     /// Returns up to `most` of the newest reports, and forgets those that are too old.
     std::vector<load_report> newest(std::size_t most, time_point now);
@@ -51,7 +51,7 @@
     /// The newest report about one target.
     struct record {
         std::uint32_t in_flight = 0;
-        time_point said_at{};
+        time_point reported_at{};
     };
 
     std::unordered_map<target_key, record> reports_;
--- a/include/endivelatch/traffic/target_choice.hpp
+++ b/include/endivelatch/traffic/target_choice.hpp
@@ -75,7 +75,7 @@
 
 /// Share of the objective within which an expected first event is early enough. Half leaves room
 /// for what the estimate does not see.
-inline constexpr double comfortable_share = 0.5;
+inline constexpr double early_enough_share = 0.5;
 /// Share of its objective that a request of the most urgent priority may be expected to wait
 /// before it is refused; each further priority may wait less, so that the less urgent yield.
 inline constexpr double most_wait_share = 1.2;
--- a/include/endivelatch/traffic/target_state.hpp
+++ b/include/endivelatch/traffic/target_state.hpp
@@ -79,7 +79,7 @@
 
     /// Takes the number of requests that the target said it held, from all routers. Only newer
     /// reports count.
-    void report(std::uint32_t in_flight, time_point said_at);
+    void report(std::uint32_t in_flight, time_point reported_at);
 
     /// Returns the key of the target in load reports.
     target_key key() const { return key_; }
--- a/include/endivelatch/traffic/traffic_event.hpp
+++ b/include/endivelatch/traffic/traffic_event.hpp
@@ -87,7 +87,7 @@
 struct heard_load {
     target_key target;
     std::uint32_t in_flight = 0; ///< From all routers.
-    time_point said_at{};
+    time_point reported_at{};
 };
 
 /// Other routers passed on loads of targets.
--- a/src/entry/fleet_view.cpp
+++ b/src/entry/fleet_view.cpp
@@ -1,6 +1,6 @@
 #include "endivelatch/entry/fleet_view.hpp"
 
-#include "endivelatch/entry/watch_seats.hpp"
+#include "endivelatch/entry/watchers.hpp"
 #include "endivelatch/membership/packet_size.hpp"
 #include "endivelatch/wire/codec.hpp"
 
@@ -162,17 +162,17 @@
 
 std::vector<endpoint> fleet_view::watchers_to_follow()
 {
-    auto seats = choose_watch_seats(membership_.live());
+    auto watchers = choose_watchers(membership_.live());
     const auto is_self = [this](const member& it) { return it.id == self_; };
-    if (std::any_of(seats.begin(), seats.end(), is_self)) {
+    if (std::any_of(watchers.begin(), watchers.end(), is_self)) {
         return {};
     }
-    std::shuffle(seats.begin(), seats.end(), random_);
-    std::stable_partition(seats.begin(), seats.end(),
+    std::shuffle(watchers.begin(), watchers.end(), random_);
+    std::stable_partition(watchers.begin(), watchers.end(),
                           [this](const member& it) { return it.domain != domain_; });
     std::vector<endpoint> addresses;
-    addresses.reserve(seats.size());
-    for (const auto& it : seats) {
+    addresses.reserve(watchers.size());
+    for (const auto& it : watchers) {
         addresses.push_back(it.link);
     }
     return addresses;
@@ -198,9 +198,9 @@
 {
     std::vector<heard_load> newer;
     for (const auto& it : loads) {
-        const auto said_at = loop_->now() - it.age;
-        if (loads_.take(it.target, it.in_flight, said_at)) {
-            newer.push_back({it.target, it.in_flight, said_at});
+        const auto reported_at = loop_->now() - it.age;
+        if (loads_.take(it.target, it.in_flight, reported_at)) {
+            newer.push_back({it.target, it.in_flight, reported_at});
         }
     }
     if (!newer.empty()) {
--- a/src/entry/log_level.cpp
+++ b/src/entry/log_level.cpp
@@ -42,12 +42,12 @@
     return has_failed ? level::warn : level::info;
 }
 
-spdlog::level::level_enum louder(spdlog::level::level_enum from)
+spdlog::level::level_enum more_verbose(spdlog::level::level_enum from)
 {
     return from == level::err ? level::warn : level::info;
 }
 
-spdlog::level::level_enum quieter(spdlog::level::level_enum from)
+spdlog::level::level_enum less_verbose(spdlog::level::level_enum from)
 {
     return from == level::info ? level::warn : level::err;
 }
--- a/src/entry/watch_seats.cpp
+++ b/src/entry/watchers.cpp
@@ -1,4 +1,4 @@
-#include "endivelatch/entry/watch_seats.hpp"
+#include "endivelatch/entry/watchers.hpp"
 
 #include "endivelatch/base/hash.hpp"
 #include "endivelatch/routing/rendezvous.hpp"
@@ -15,7 +15,7 @@
 /// Returns the first routers in the rendezvous order.
 std::vector<member> first_of(const std::vector<member>& routers, std::size_t count)
 {
-    const auto place = stable_hash("watch seats");
+    const auto place = stable_hash("watchers");
     const std::span<const member> nodes{routers};
     std::vector<member> chosen;
     for (const auto it : rendezvous_top(place, nodes, std::min(count, routers.size()),
@@ -27,7 +27,7 @@
 
 } // namespace
 
-std::vector<member> choose_watch_seats(const std::vector<member>& live)
+std::vector<member> choose_watchers(const std::vector<member>& live)
 {
     if (live.size() <= most_watching_all) {
         return live;
@@ -36,22 +36,22 @@
     for (const auto& it : live) {
         domains[it.domain].push_back(it);
     }
-    std::vector<member> seats;
+    std::vector<member> watchers;
     for (const auto& [domain, routers] : domains) {
-        const auto count = std::max<std::size_t>(routers.size() / routers_per_seat, 1);
+        const auto count = std::max<std::size_t>(routers.size() / routers_per_watcher, 1);
         const auto chosen = first_of(routers, count);
-        seats.insert(seats.end(), chosen.begin(), chosen.end());
+        watchers.insert(watchers.end(), chosen.begin(), chosen.end());
     }
-    std::set<router_id> seated;
-    for (const auto& it : seats) {
-        seated.insert(it.id);
+    std::set<router_id> chosen_ids;
+    for (const auto& it : watchers) {
+        chosen_ids.insert(it.id);
     }
-    for (const auto& it : first_of(live, fewest_watch_seats)) {
-        if (seats.size() < fewest_watch_seats && seated.insert(it.id).second) {
-            seats.push_back(it);
+    for (const auto& it : first_of(live, fewest_watchers)) {
+        if (watchers.size() < fewest_watchers && chosen_ids.insert(it.id).second) {
+            watchers.push_back(it);
         }
     }
-    return seats;
+    return watchers;
 }
 
 } // namespace endivelatch
--- a/src/membership/load_table.cpp
+++ b/src/membership/load_table.cpp
@@ -11,23 +11,23 @@
     return target_key{static_cast<std::uint32_t>(stable_hash(id.str()))};
 }
 
-bool load_table::take(target_key target, std::uint32_t in_flight, time_point said_at)
+bool load_table::take(target_key target, std::uint32_t in_flight, time_point reported_at)
 {
-    const auto [it, is_new] = reports_.try_emplace(target, record{in_flight, said_at});
-    if (!is_new && it->second.said_at >= said_at) {
+    const auto [it, is_new] = reports_.try_emplace(target, record{in_flight, reported_at});
+    if (!is_new && it->second.reported_at >= reported_at) {
         return false;
     }
-    it->second = {in_flight, said_at};
+    it->second = {in_flight, reported_at};
     return true;
 }
 
 std::vector<load_report> load_table::newest(std::size_t most, time_point now)
 {
-    std::erase_if(reports_, [&](const auto& it) { return now - it.second.said_at > lifetime; });
+    std::erase_if(reports_, [&](const auto& it) { return now - it.second.reported_at > lifetime; });
     std::vector<load_report> all;
     all.reserve(reports_.size());
     for (const auto& [target, it] : reports_) {
-        all.push_back({target, it.in_flight, std::max(now - it.said_at, duration{})});
+        all.push_back({target, it.in_flight, std::max(now - it.reported_at, duration{})});
     }
     const auto last = all.begin() + static_cast<std::ptrdiff_t>(std::min(most, all.size()));
     std::partial_sort(all.begin(), last, all.end(), [](const auto& a, const auto& b) {
--- a/src/traffic/target_choice.cpp
+++ b/src/traffic/target_choice.cpp
@@ -124,10 +124,10 @@
 }
 
 /// Returns whether the first event is expected well before the objective.
-bool is_comfortable(const choice_query& query, const candidate& it)
+bool is_early_enough(const choice_query& query, const candidate& it)
 {
     const auto objective = std::chrono::duration<double, std::milli>{query.objective}.count();
-    return query.prompt != nullptr && it.cost_ms < objective * comfortable_share;
+    return query.prompt != nullptr && it.cost_ms < objective * early_enough_share;
 }
 
 /// Orders targets that answer well in time by what they have to read, since an earlier answer is
@@ -135,11 +135,11 @@
 /// rendezvous order.
 bool is_better(const choice_query& query, const candidate& a, const candidate& b)
 {
-    const bool a_comfortable = is_comfortable(query, a);
-    if (a_comfortable != is_comfortable(query, b)) {
-        return a_comfortable;
+    const bool a_is_early = is_early_enough(query, a);
+    if (a_is_early != is_early_enough(query, b)) {
+        return a_is_early;
     }
-    if (a_comfortable && a.unread_tokens != b.unread_tokens) {
+    if (a_is_early && a.unread_tokens != b.unread_tokens) {
         return a.unread_tokens < b.unread_tokens;
     }
     return a.cost_ms < b.cost_ms || (a.cost_ms == b.cost_ms && a.rank > b.rank);
--- a/src/traffic/target_state.cpp
+++ b/src/traffic/target_state.cpp
@@ -82,18 +82,18 @@
     own_in_flight_ -= std::min(own_in_flight_, 1U);
 }
 
-void target_state::report(std::uint32_t in_flight, time_point said_at)
+void target_state::report(std::uint32_t in_flight, time_point reported_at)
 {
-    if (reported_ && said_at <= reported_at_) {
+    if (reported_ && reported_at <= reported_at_) {
         return;
     }
     // Own requests that have got no bytes yet may have been sent after the report was made.
     const auto sent_since = std::count_if(waiting_.begin(), waiting_.end(),
-                                          [&](const auto& it) { return it.at > said_at; });
+                                          [&](const auto& it) { return it.at > reported_at; });
     const auto later = static_cast<std::uint32_t>(sent_since);
     reported_ = in_flight;
     own_at_report_ = own_in_flight_ - std::min(own_in_flight_, later);
-    reported_at_ = said_at;
+    reported_at_ = reported_at;
 }
 
 void target_state::note(attempt_outcome outcome, time_point now)
--- a/src/traffic/traffic_router.cpp
+++ b/src/traffic/traffic_router.cpp
@@ -189,7 +189,7 @@
 {
     for (const auto& it : e.loads) {
         if (auto* target = targets_.find(it.target)) {
-            target->report(it.in_flight, it.said_at);
+            target->report(it.in_flight, it.reported_at);
         }
     }
     metrics_.add("loads_heard", e.loads.size());
--- a/tests/entry/log_level_test.cpp
+++ b/tests/entry/log_level_test.cpp
@@ -19,10 +19,10 @@
 
 TEST(log_level, changes_by_steps_and_stays_within_its_ends)
 {
-    EXPECT_EQ(quieter(level::info), level::warn);
-    EXPECT_EQ(quieter(quieter(quieter(level::info))), level::err);
-    EXPECT_EQ(louder(level::err), level::warn);
-    EXPECT_EQ(louder(louder(louder(level::err))), level::info);
+    EXPECT_EQ(less_verbose(level::info), level::warn);
+    EXPECT_EQ(less_verbose(less_verbose(less_verbose(level::info))), level::err);
+    EXPECT_EQ(more_verbose(level::err), level::warn);
+    EXPECT_EQ(more_verbose(more_verbose(more_verbose(level::err))), level::info);
 }
 
 } // namespace
--- a/tests/entry/watch_seats_test.cpp
+++ b/tests/entry/watchers_test.cpp
@@ -1,4 +1,4 @@
-#include "endivelatch/entry/watch_seats.hpp"
+#include "endivelatch/entry/watchers.hpp"
 
 #include <set>
 #include <string>
@@ -28,40 +28,40 @@
     return all;
 }
 
-TEST(watch_seats, small_fleets_all_watch)
+TEST(watchers, small_fleets_all_watch)
 {
-    EXPECT_EQ(choose_watch_seats(make_fleet(1)).size(), 1U);
-    EXPECT_EQ(choose_watch_seats(make_fleet(8)).size(), 8U);
+    EXPECT_EQ(choose_watchers(make_fleet(1)).size(), 1U);
+    EXPECT_EQ(choose_watchers(make_fleet(8)).size(), 8U);
 }
 
-TEST(watch_seats, grow_slowly_with_the_fleet)
+TEST(watchers, grow_slowly_with_the_fleet)
 {
-    EXPECT_EQ(choose_watch_seats(make_fleet(9)).size(), 4U);
-    EXPECT_EQ(choose_watch_seats(make_fleet(90)).size(), 5U);
-    EXPECT_EQ(choose_watch_seats(make_fleet(1'700)).size(), 106U);
+    EXPECT_EQ(choose_watchers(make_fleet(9)).size(), 4U);
+    EXPECT_EQ(choose_watchers(make_fleet(90)).size(), 5U);
+    EXPECT_EQ(choose_watchers(make_fleet(1'700)).size(), 106U);
 }
 
-TEST(watch_seats, lie_in_every_failure_domain)
+TEST(watchers, lie_in_every_failure_domain)
 {
     auto fleet = make_fleet(90);
     for (std::size_t n = 0; n < fleet.size(); ++n) {
         fleet[n].domain = domain_id{"domain-" + std::to_string(n % 4)};
     }
     std::set<domain_id> domains;
-    const auto seats = choose_watch_seats(fleet);
-    for (const auto& it : seats) {
+    const auto chosen = choose_watchers(fleet);
+    for (const auto& it : chosen) {
         domains.insert(it.domain);
     }
-    EXPECT_EQ(seats.size(), 4U);
+    EXPECT_EQ(chosen.size(), 4U);
     EXPECT_EQ(domains.size(), 4U);
 }
 
-TEST(watch_seats, a_lost_router_moves_one_seat_at_most)
+TEST(watchers, a_lost_router_moves_one_watcher_at_most)
 {
     auto fleet = make_fleet(90);
-    const auto before = ids(choose_watch_seats(fleet));
+    const auto before = ids(choose_watchers(fleet));
     std::erase_if(fleet, [&](const auto& it) { return it.id == *before.begin(); });
-    const auto after = ids(choose_watch_seats(fleet));
+    const auto after = ids(choose_watchers(fleet));
     std::size_t kept = 0;
     for (const auto& it : before) {
         kept += after.count(it);
--- a/tests/serve/serve_test.cpp
+++ b/tests/serve/serve_test.cpp
@@ -2,7 +2,7 @@
 
 #include "net/loopback.hpp"
 
-#include "endivelatch/entry/watch_seats.hpp"
+#include "endivelatch/entry/watchers.hpp"
 
 #include <algorithm>
 #include <csignal>
@@ -317,11 +317,11 @@
 TEST_F(ten_routers, few_watch_the_store_and_the_others_follow_them)
 {
     constexpr std::size_t kinds = 2;
-    const auto only_seats_watch = [&] {
+    const auto only_watchers_wait = [&] {
         run_for(fleet.loop, milliseconds{50});
-        return fleet.store.watches() == fewest_watch_seats * kinds;
+        return fleet.store.watches() == fewest_watchers * kinds;
     };
-    run_until(fleet.loop, only_seats_watch);
+    run_until(fleet.loop, only_watchers_wait);
     fleet.configure(2, {"second"});
     for (int n = 1; n <= 10; ++n) {
         int tries = 0;
@@ -332,15 +332,15 @@
         });
     }
     // Between two watches of one router none waits at the store.
-    EXPECT_LE(fleet.store.watches(), fewest_watch_seats * kinds);
-    run_until(fleet.loop, only_seats_watch);
+    EXPECT_LE(fleet.store.watches(), fewest_watchers * kinds);
+    run_until(fleet.loop, only_watchers_wait);
 }
 
 TEST_F(ten_routers, read_a_large_configuration_from_the_store)
 {
     run_until(fleet.loop, [&] {
         run_for(fleet.loop, milliseconds{50});
-        return fleet.store.watches() == fewest_watch_seats * 2;
+        return fleet.store.watches() == fewest_watchers * 2;
     });
     std::vector<std::string> keys{"second"};
     for (int n = 0; n < 2'000; ++n) {
--- a/tests/soak/caller_record.cpp
+++ b/tests/soak/caller_record.cpp
@@ -67,13 +67,13 @@
     return {};
 }
 
-std::vector<std::string> broken_promises(const serve::serve_fleet& fleet,
+std::vector<std::string> find_violations(const serve::serve_fleet& fleet,
                                          const std::vector<caller_record>& records)
 {
-    std::vector<std::string> broken;
+    std::vector<std::string> violations;
     for (const auto& it : records) {
         const auto note = [&](const std::string& what) {
-            broken.push_back("request " + it.attempt + " (" + it.path + "): " + what);
+            violations.push_back("request " + it.attempt + " (" + it.path + "): " + what);
         };
         const auto runs = runs_of(fleet, it.attempt);
         const bool may_repeat = it.kind == call_kind::safe || it.kind == call_kind::again;
@@ -104,7 +104,7 @@
             note("has no answer long after its time");
         }
     }
-    return broken;
+    return violations;
 }
 
 } // namespace endivelatch::soak
--- a/tests/soak/caller_record.hpp
+++ b/tests/soak/caller_record.hpp
@@ -27,10 +27,10 @@
 /// Returns the path of a request of the kind.
 std::string path_of(call_kind kind, const std::string& attempt);
 
-/// Returns what the records of callers and replicas show against the promises: unsafe requests run
+/// Returns the violations in the records of callers and replicas. Rules: unsafe requests run
 /// at most once, others as often as their route allows; a refusal has not run; a success is the
 /// replica's whole answer; events of streams come in order, each once.
-std::vector<std::string> broken_promises(const serve::serve_fleet& fleet,
+std::vector<std::string> find_violations(const serve::serve_fleet& fleet,
                                          const std::vector<caller_record>& records);
 
 } // namespace endivelatch::soak
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -54,7 +54,7 @@
     while (fleet_.loop.now() < ends_at) {
         send_request();
         if (fleet_.loop.now() >= next_fault) {
-            play_fault();
+            inject_fault();
             next_fault = fleet_.loop.now() + between(shortest_fault_gap_ms, longest_fault_gap_ms);
         }
         run_for(fleet_.loop, request_gap);
@@ -87,7 +87,7 @@
     }
 }
 
-void soak_run::play_fault()
+void soak_run::inject_fault()
 {
     const auto router = 1 + static_cast<int>(random_.below(router_count));
     const auto replica = random_.below(fleet_.replicas.size());
@@ -116,16 +116,16 @@
         return;
     case 7:
     case 8:
-        spoil_replica(replica);
+        make_replica_fail(replica);
         return;
     case 9:
         replace_replica(replica);
         return;
     case 10:
-        spoil_path(*fleet_.store_proxy);
+        disturb_path(*fleet_.store_proxy);
         return;
     default:
-        spoil_path(*fleet_.replica_proxies[replica]);
+        disturb_path(*fleet_.replica_proxies[replica]);
     }
 }
 
@@ -187,8 +187,8 @@
         return;
     }
     if (code != 0) {
-        broken_.push_back("router " + std::to_string(router) + " stopped with exit code " +
-                          std::to_string(code));
+        violations_.push_back("router " + std::to_string(router) + " stopped with exit code " +
+                              std::to_string(code));
     }
     fleet_.start(router);
     states_[router] = router_state::runs;
@@ -200,7 +200,7 @@
         return;
     }
     const bool is_bad = random_.below(2) == 0;
-    note(is_bad ? "settings_spoiled" : "settings_changed");
+    note(is_bad ? "settings_invalid" : "settings_changed");
     std::ofstream{fleet_.settings_path(router)}
         << (is_bad ? std::string{"NodeName = 5\n"} : fleet_.settings(router) + "# changed\n");
     fleet_.routers[router]->send(SIGHUP);
@@ -226,12 +226,12 @@
     after(between(100, 1'500), [this] { fleet_.store.set_mode(store_mode::well); });
 }
 
-void soak_run::spoil_replica(std::size_t replica)
+void soak_run::make_replica_fail(std::size_t replica)
 {
     constexpr std::array faults{replica_fault::refuses,    replica_fault::loses,
                                 replica_fault::breaks_off, replica_fault::unsigned_ok,
                                 replica_fault::errs,       replica_fault::hangs};
-    note("replica_spoiled");
+    note("replica_fails");
     fleet_.replicas[replica]->set_fault(faults.at(random_.below(faults.size())));
     after(between(50, 1'000),
           [this, replica] { fleet_.replicas[replica]->set_fault(replica_fault::none); });
@@ -251,12 +251,12 @@
     });
     after(between(401, 1'000), [this, replica, id] {
         auto again = fleet_.registration(replica);
-        again["born"] = again["born"].get<std::uint64_t>() + static_cast<unsigned>(++births_);
+        again["born"] = again["born"].get<std::uint64_t>() + static_cast<unsigned>(++starts_);
         fleet_.store.put("servers", id, again);
     });
 }
 
-void soak_run::spoil_path(standins::tcp_proxy& proxy)
+void soak_run::disturb_path(standins::tcp_proxy& proxy)
 {
     switch (random_.below(4)) {
     case 0:
@@ -286,8 +286,8 @@
     for (auto& [router, state] : states_) {
         const bool may_exit = state == router_state::is_down || state == router_state::is_stopping;
         if (!may_exit && fleet_.routers[router]->exit_code() >= 0) {
-            broken_.push_back("router " + std::to_string(router) + " ended by itself with " +
-                              std::to_string(fleet_.routers[router]->exit_code()));
+            violations_.push_back("router " + std::to_string(router) + " ended by itself with " +
+                                  std::to_string(fleet_.routers[router]->exit_code()));
             state = router_state::is_down;
         }
     }
@@ -307,17 +307,17 @@
         });
         const auto old = fleet_.ask(n, "/safe/x", "old" + std::to_string(n), "key-1");
         if (old.status != 401) {
-            broken_.push_back("router " + std::to_string(n) + " answers " +
-                              std::to_string(old.status) + " to a withdrawn key");
+            violations_.push_back("router " + std::to_string(n) + " answers " +
+                                  std::to_string(old.status) + " to a withdrawn key");
         }
     }
     check_exits();
 }
 
-std::vector<std::string> soak_run::broken() const
+std::vector<std::string> soak_run::violations() const
 {
-    auto all = broken_;
-    for (auto& it : broken_promises(fleet_, records_)) {
+    auto all = violations_;
+    for (auto& it : find_violations(fleet_, records_)) {
         all.push_back(std::move(it));
     }
     return all;
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -21,10 +21,10 @@
     /// Plays faults and requests for the time, then lets everything recover.
     void play(duration length);
 
-    /// Returns what was broken; empty when all promises were kept.
-    std::vector<std::string> broken() const;
+    /// Returns the violations found; empty when there were none.
+    std::vector<std::string> violations() const;
 
-    /// Returns how many faults were played, by name.
+    /// Returns how many faults were injected, by name.
     const std::map<std::string, int>& faults() const { return faults_; }
 
     /// Returns how many requests were sent.
@@ -43,7 +43,7 @@
 
     void send_request();
     void leave(std::size_t record);
-    void play_fault();
+    void inject_fault();
 
     // Faults of routers.
     void kill_router(int router);
@@ -55,11 +55,11 @@
     // Faults of the store and of replicas.
     void change_configuration();
     void lose_store(standins::store_standin::mode mode);
-    void spoil_replica(std::size_t replica);
+    void make_replica_fail(std::size_t replica);
     void replace_replica(std::size_t replica);
 
     // Faults of paths.
-    void spoil_path(standins::tcp_proxy& proxy);
+    void disturb_path(standins::tcp_proxy& proxy);
 
     /// Returns whether the process takes signals: before its program runs, the system ends it.
     bool takes_signals(int router) const;
@@ -75,9 +75,9 @@
     std::map<int, router_state> states_;
     std::vector<caller_record> records_;
     std::map<std::string, int> faults_;
-    std::vector<std::string> broken_;
+    std::vector<std::string> violations_;
     int version_ = 1;
-    int births_ = 0;
+    int starts_ = 0;
     int pending_ = 0; ///< Faults that have not ended.
 };
 
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -20,19 +20,19 @@
 {
     soak_run run{seed};
     run.play(std::chrono::seconds{number_from_environment("SOAK_SECONDS", 6)});
-    const auto broken = run.broken();
+    const auto violations = run.violations();
     std::cout << "soak seed=" << seed << " requests=" << run.requests()
-              << " broken=" << broken.size();
+              << " violations=" << violations.size();
     for (const auto& [name, times] : run.faults()) {
         std::cout << ' ' << name << '=' << times;
     }
     std::cout << std::endl;
-    for (const auto& it : broken) {
+    for (const auto& it : violations) {
         ADD_FAILURE() << "seed " << seed << ": " << it;
     }
 }
 
-TEST(soak, keeps_the_promises_under_overlapping_faults)
+TEST(soak, has_no_violations_under_overlapping_faults)
 {
     const auto first = number_from_environment("SOAK_FIRST", 2);
     const auto count = number_from_environment("SOAK_COUNT", 1);
@@ -51,7 +51,7 @@
     play(102); // SIGHUP ended a router that had just been started.
     play(113); // The proxy again: bytes due at the same time.
     play(242); // The proxy once more: bytes passed others that were due but not written yet.
-    play(118); // A router was started with a settings file that the soak had spoiled.
+    play(118); // A router was started with a settings file that the soak had made invalid.
 }
 
 } // namespace
--- a/tests/traffic/load_spread_test.cpp
+++ b/tests/traffic/load_spread_test.cpp
@@ -145,9 +145,9 @@
     void tell(router_model& from, router_model& to)
     {
         for (const auto& it : from.loads.newest(load_table::most_in_packet, clock_.now())) {
-            const auto said_at = clock_.now() - it.age;
-            if (to.loads.take(it.target, it.in_flight, said_at)) {
-                to.targets.find(it.target)->report(it.in_flight, said_at);
+            const auto reported_at = clock_.now() - it.age;
+            if (to.loads.take(it.target, it.in_flight, reported_at)) {
+                to.targets.find(it.target)->report(it.in_flight, reported_at);
             }
         }
     }
--- a/tests/traffic/target_choice_test.cpp
+++ b/tests/traffic/target_choice_test.cpp
@@ -73,14 +73,14 @@
 TEST_F(choice_fixture, a_load_heard_counts_own_requests_once)
 {
     auto& busy = target(3);
-    const auto said_at = clock.now();
-    busy.sent({said_at - std::chrono::milliseconds{50}, 0, 100});
+    const auto reported_at = clock.now();
+    busy.sent({reported_at - std::chrono::milliseconds{50}, 0, 100});
     clock.advance(std::chrono::milliseconds{300});
     busy.sent({clock.now(), 0, 100}); // Not among those that the target counted.
-    busy.report(9, said_at);
-    EXPECT_NEAR(busy.others_in_flight(0, said_at), 8, 0.01);
-    busy.report(2, said_at - std::chrono::milliseconds{1}); // Older.
-    EXPECT_NEAR(busy.others_in_flight(0, said_at), 8, 0.01);
+    busy.report(9, reported_at);
+    EXPECT_NEAR(busy.others_in_flight(0, reported_at), 8, 0.01);
+    busy.report(2, reported_at - std::chrono::milliseconds{1}); // Older.
+    EXPECT_NEAR(busy.others_in_flight(0, reported_at), 8, 0.01);
 }
 
 TEST_F(choice_fixture, a_target_that_has_read_the_prompt_takes_the_next_spill)
