Copies of the store's objects are complete at their revision or not used

A watcher that had been cut off delayed removals for its grace time and recorded them at its next revision, with the object still in its copy. A follower that had reached that revision through another watcher never got them.

Ruled out: late copies (the last router had each revision 0.8 s after the first, median 0.06 s) and a routing state that lags its copy.

Change: the copy is the store's state, delayed removals are kept apart and not passed on. Watch responses that a merged copy is ahead of are ignored, removals of unknown objects are recorded, changes apply only to the revision they were asked for, a list of several pages is not passed on before its last page is reached, and ranges that were skipped are answered with a whole copy.

The check of a removal during the grace time at a follower is replaced: the follower now gets it at once, the delay is each router's own.

--- a/include/endivelatch/entry/entry_process_life.hpp
+++ b/include/endivelatch/entry/entry_process_life.hpp
@@ -240,7 +240,7 @@
 bool entry_process<Protocol>::answer_copy(exchange_number id, const copy_query& query)
 {
     const auto& copy = mirror_of(query.kind);
-    if (!copy.mirror().is_synced() || copy.mirror().revision() <= query.newer_than) {
+    if (!copy.mirror().is_exact() || copy.mirror().revision() <= query.newer_than) {
         return false;
     }
     const auto answer = copy.answer(query, max_small_copy_size(settings_.link_rate));
@@ -311,16 +311,17 @@
     targets_changed changed;
     changed.revision = mirror.revision().value();
     std::set<endpoint> addresses;
-    for (const auto& [name, object] : mirror.objects()) {
-        auto target = Protocol::read_target(object);
+    for (const auto* object : mirror.objects_in_use()) {
+        auto target = Protocol::read_target(*object);
         if (has_value(target)) {
             addresses.insert(value_of(target).address);
             changed.targets.push_back(std::get<registered_target>(std::move(target)));
             continue;
         }
-        if (std::exchange(unreadable_revisions_[name], object.revision) != object.revision) {
+        if (std::exchange(unreadable_revisions_[object->name], object->revision) !=
+            object->revision) {
             write(log_event{"registration_unreadable"}
-                      .add("target", name)
+                      .add("target", object->name)
                       .add("reason", to_string(findings_of(target))));
         }
     }
--- a/include/endivelatch/entry/mirror_client.hpp
+++ b/include/endivelatch/entry/mirror_client.hpp
@@ -182,20 +182,18 @@
         watches_store_ = false;
         const auto watcher = watchers.back();
         watchers.pop_back();
-        call_ =
-            calls_->call({watcher,
-                          "GET",
-                          write_copy_query({kind_, mirror_.revision(), true, true, true}),
-                          {},
-                          peer_wait + follow_timeout_margin},
-                         [this, e, others = std::move(watchers)](call_outcome&& outcome) mutable {
-                             call_.reset();
-                             handle_watcher_answer(outcome, std::move(others), e);
-                         });
+        const copy_query query{kind_, mirror_.revision(), true, mirror_.is_exact(), true};
+        call_ = calls_->call(
+            {watcher, "GET", write_copy_query(query), {}, peer_wait + follow_timeout_margin},
+            [this, e, since = query.newer_than,
+             others = std::move(watchers)](call_outcome&& outcome) mutable {
+                call_.reset();
+                handle_watcher_answer(outcome, since, std::move(others), e);
+            });
     }
 
-    void handle_watcher_answer(const call_outcome& outcome, std::vector<endpoint>&& others,
-                               const watch_objects& e)
+    void handle_watcher_answer(const call_outcome& outcome, store_revision since,
+                               std::vector<endpoint>&& others, const watch_objects& e)
     {
         const auto* reply = std::get_if<call_reply>(&outcome);
         if (reply != nullptr && reply->status == copy_answer::not_watching) {
@@ -203,32 +201,36 @@
             return;
         }
         const bool is_unchanged = reply != nullptr && reply->status == copy_answer::nothing_newer;
-        if (is_unchanged || (reply != nullptr && apply_copy(*reply))) {
+        if (is_unchanged || (reply != nullptr && apply_copy(*reply, since))) {
             apply(mirror_.handle_response(object_changes{{}, mirror_.revision()}, now()));
             return;
         }
         watch_store({mirror_.revision(), e.wait});
     }
 
-    /// Applies a copy, or the changes in it, received from another router. Returns whether the
-    /// answer was valid.
-    bool apply_copy(const call_reply& reply)
+    /// Applies a copy, or the changes in it since a revision, received from another router. Returns
+    /// whether the answer was valid.
+    bool apply_copy(const call_reply& reply, store_revision since)
     {
         if (reply.status == copy_answer::changes) {
-            return apply_parsed_copy(Protocol::read_changes(reply.body));
+            auto changes = Protocol::read_changes(reply.body);
+            if (!has_value(changes)) {
+                log("copy_not_read", to_string(findings_of(changes)));
+                return false;
+            }
+            apply(mirror_.merge_peer_copy(std::get<object_changes>(std::move(changes)), since,
+                                          now()));
+            return true;
+        }
+        if (reply.status != copy_answer::whole) {
+            return false;
         }
-        return reply.status == copy_answer::whole &&
-               apply_parsed_copy(Protocol::read_page(reply.body));
-    }
-
-    template <class Copy>
-    bool apply_parsed_copy(result<Copy>&& read)
-    {
-        if (!has_value(read)) {
-            log("copy_not_read", to_string(findings_of(read)));
+        auto page = Protocol::read_page(reply.body);
+        if (!has_value(page)) {
+            log("copy_not_read", to_string(findings_of(page)));
             return false;
         }
-        apply(mirror_.merge_peer_copy(std::get<Copy>(std::move(read)), now()));
+        apply(mirror_.merge_peer_copy(std::get<object_page>(std::move(page)), now()));
         return true;
     }
 
@@ -326,18 +328,16 @@
         // A newer copy shows a stalled watch only if the store was connected at the time of the
         // query.
         const bool was_connected = mirror_.is_connected();
-        calls_->call({peer,
-                      "GET",
-                      write_copy_query({kind_, mirror_.revision(), false, true, was_connected}),
-                      {},
-                      peer_wait + watch_timeout_margin},
-                     [this, peer, was_connected](call_outcome&& outcome) {
+        const copy_query query{kind_, mirror_.revision(), false, mirror_.is_exact(), was_connected};
+        calls_->call({peer, "GET", write_copy_query(query), {}, peer_wait + watch_timeout_margin},
+                     [this, peer, query](call_outcome&& outcome) {
                          is_querying_peer_ = false;
-                         handle_peer_answer(peer, outcome, was_connected);
+                         handle_peer_answer(peer, outcome, query);
                      });
     }
 
-    void handle_peer_answer(const endpoint& peer, const call_outcome& outcome, bool was_connected)
+    void handle_peer_answer(const endpoint& peer, const call_outcome& outcome,
+                            const copy_query& query)
     {
         const auto* reply = std::get_if<call_reply>(&outcome);
         if (reply != nullptr && reply->status == copy_answer::nothing_newer) {
@@ -350,12 +350,13 @@
             return;
         }
         const auto previous = mirror_.revision();
-        if (reply == nullptr || !apply_copy(*reply)) {
+        if (reply == nullptr || !apply_copy(*reply, query.newer_than)) {
             log("copy_not_read", peer.address);
             peer_timer_.start(peer_retry_delay);
             return;
         }
         log("copy_read", peer.address);
+        const bool was_connected = query.small_only;
         if (was_connected && mirror_.revision() > previous) {
             restart_watch();
             return;
--- a/include/endivelatch/mirror/object_mirror.hpp
+++ b/include/endivelatch/mirror/object_mirror.hpp
@@ -85,6 +85,12 @@
 };
 
 /// Maintains the copy and decides on the next call. A pure state machine without I/O or clock.
+///
+/// Invariant: a copy at revision R holds every change up to R, in whatever order pages, watch
+/// responses and copies of peers arrive. Copies passed on to peers rely on it, as they contain only
+/// what changed after the revision of the peer. Objects whose removal is delayed are therefore kept
+/// apart from the copy. The pages of a list are read one after the other, so the copy may also hold
+/// later changes; it is not passed on until its revision has reached that of the last page.
 class object_mirror {
 public:
     object_mirror(const mirror_settings& settings, std::uint64_t seed);
@@ -101,12 +107,13 @@
     /// Replaces the copy by a peer's complete one; ignored unless that is newer.
     mirror_effects merge_peer_copy(object_page&& copy, time_point now);
 
-    /// Applies the changes of a peer's copy since the revision of this one; ignored unless that
-    /// copy is newer.
-    mirror_effects merge_peer_copy(object_changes&& changes, time_point now);
+    /// Applies the changes of a peer's copy since a revision; ignored unless this copy is exact and
+    /// still at that revision. The changes lack objects that were both created and removed since,
+    /// which a newer copy may hold.
+    mirror_effects merge_peer_copy(object_changes&& changes, store_revision since, time_point now);
 
-    /// Returns the changes since a revision, or nothing when tombstones since then were discarded
-    /// or the copy is not synced.
+    /// Returns the changes since a revision, or nothing when removals since then are not known or
+    /// the copy is not exact.
     std::optional<object_changes> changes_since(store_revision revision) const;
 
     /// Largest number of tombstones; exceeds the removals between two queries of a peer.
@@ -124,15 +131,22 @@
     /// Returns when `tick` has to be called next, or nothing.
     std::optional<time_point> next_timer() const;
 
-    /// Returns all objects by name.
+    /// Returns the objects of the copy by name, as they are passed on to peers.
     const std::map<std::string, mirrored_object>& objects() const { return objects_; }
 
+    /// Returns the objects of the copy and those whose removal is delayed.
+    std::vector<const mirrored_object*> objects_in_use() const;
+
     /// Returns the revision of the copy; zero before the first list.
     store_revision revision() const { return revision_; }
 
     /// Returns whether a complete copy has been read.
     bool is_synced() const { return is_synced_; }
 
+    /// Returns whether the copy is exactly the state of the store at its revision, so that it can
+    /// be passed on.
+    bool is_exact() const { return is_synced_ && revision_ >= exact_from_; }
+
     /// Returns whether the last call succeeded.
     bool is_connected() const { return is_connected_; }
 
@@ -140,24 +154,41 @@
     time_point last_response_at() const { return last_response_at_; }
 
 private:
+    /// A removed object that stays in use for a while.
+    struct retained_object {
+        mirrored_object object;
+        time_point until{};
+    };
+
     mirror_effects list_from(std::string after);
     mirror_effects continue_watching(mirror_effects&& effects);
     void record_response(time_point now);
     bool apply(object_changes&& changes, time_point now);
-    void remove(const std::string& name, store_revision revision, time_point now);
+    bool apply_removal(const mirrored_object& removed, store_revision revision, time_point now);
+    void retain(mirrored_object&& object, time_point now);
     void add_tombstone(const std::string& name, store_revision revision);
     bool upsert(mirrored_object&& object);
-    bool replace_all(std::vector<mirrored_object>&& all, store_revision revision, time_point now);
+    bool replace_all(std::vector<mirrored_object>&& all, store_revision revision,
+                     store_revision exact_from, time_point now);
+    /// Called before the copy moves to a later revision without each change in between.
+    void record_skipped_changes(store_revision until);
     duration pause_after_change(time_point now);
 
     mirror_settings settings_;
     random_source random_;
     std::map<std::string, mirrored_object> objects_;
-    std::map<std::string, time_point> pending_removals_; ///< Removed objects kept until then.
-    std::map<std::string, store_revision> tombstones_;   ///< Revisions of removals.
-    store_revision tombstones_complete_since_;           ///< Every later removal has a tombstone.
-    std::vector<mirrored_object> listed_objects_;        ///< Objects of the current list so far.
-    std::optional<store_revision> list_revision_;        ///< Of the current list's first page.
+    std::map<std::string, retained_object> retained_;  ///< Removed objects that stay in use.
+    std::map<std::string, store_revision> tombstones_; ///< Revisions of removals.
+    /// Every later removal has a tombstone, except within the skipped changes.
+    store_revision tombstones_complete_since_;
+    /// Revisions between which changes were not seen one by one: a peer at a revision in between
+    /// may hold objects that have no tombstone. Empty if both are equal.
+    store_revision skipped_from_;
+    store_revision skipped_until_;
+    std::vector<mirrored_object> listed_objects_; ///< Objects of the current list so far.
+    std::optional<store_revision> list_revision_; ///< Lowest of the current list's pages.
+    store_revision last_page_revision_;           ///< Highest of the current list's pages.
+    store_revision exact_from_;
     store_revision revision_;
     time_point last_response_at_{};
     std::optional<time_point> failed_since_; ///< First of the latest consecutive failures.
--- a/src/mirror/object_mirror.cpp
+++ b/src/mirror/object_mirror.cpp
@@ -23,6 +23,7 @@
     if (after.empty()) {
         listed_objects_.clear();
         list_revision_.reset();
+        last_page_revision_ = {};
     }
     retry_at_.reset();
     next_call_is_list_ = true;
@@ -52,24 +53,17 @@
 mirror_effects object_mirror::handle_response(object_page&& page, time_point now)
 {
     record_response(now);
-    if (!list_revision_) {
-        list_revision_ = page.revision;
-    }
+    list_revision_ = std::min(list_revision_.value_or(page.revision), page.revision);
+    last_page_revision_ = std::max(last_page_revision_, page.revision);
     std::move(page.objects.begin(), page.objects.end(), std::back_inserter(listed_objects_));
     if (page.has_more && !listed_objects_.empty()) {
         return list_from(listed_objects_.back().name);
     }
     mirror_effects effects;
     // A copy merged from a peer in the meantime may be newer than this list.
-    if (*list_revision_ >= revision_) {
-        const bool was_synced = std::exchange(is_synced_, true);
-        if (replace_all(std::move(listed_objects_), *list_revision_, now) || !was_synced) {
-            effects.emplace_back(mirror_updated{});
-        }
-        if (!was_synced) {
-            tombstones_complete_since_ = *list_revision_; // Earlier removals are unknown.
-        }
-        revision_ = *list_revision_;
+    if (*list_revision_ >= revision_ &&
+        replace_all(std::move(listed_objects_), *list_revision_, last_page_revision_, now)) {
+        effects.emplace_back(mirror_updated{});
     }
     listed_objects_.clear();
     return continue_watching(std::move(effects));
@@ -103,46 +97,59 @@
 
 bool object_mirror::apply(object_changes&& changes, time_point now)
 {
+    if (changes.revision < revision_) {
+        return false; // A peer's copy that contains these changes was merged in the meantime.
+    }
     bool has_changed = false;
     for (auto& it : changes.changes) {
-        if (!it.is_deleted) {
-            has_changed = upsert(std::move(it.object)) || has_changed;
-            continue;
+        if (it.is_deleted) {
+            has_changed = apply_removal(it.object, changes.revision, now) || has_changed;
         }
-        const auto existing = objects_.find(it.object.name);
-        if (existing != objects_.end() && existing->second.revision <= it.object.revision) {
-            // The event may have the revision of the object instead of that of its removal.
-            remove(it.object.name, std::max(it.object.revision, changes.revision), now);
-            has_changed = true;
+        // The copy reflects changes up to its revision, including removals that followed them.
+        else if (it.object.revision > revision_) {
+            has_changed = upsert(std::move(it.object)) || has_changed;
         }
     }
-    revision_ = std::max(revision_, changes.revision);
+    revision_ = changes.revision;
     return has_changed;
 }
 
+bool object_mirror::apply_removal(const mirrored_object& removed, store_revision revision,
+                                  time_point now)
+{
+    const auto existing = objects_.find(removed.name);
+    if (existing != objects_.end() && existing->second.revision > removed.revision) {
+        return false; // Created again after this removal.
+    }
+    // The event may have the revision of the object instead of that of its removal.
+    add_tombstone(removed.name, std::max(removed.revision, revision));
+    if (existing == objects_.end()) {
+        return false; // Removed while the pages of a list were read.
+    }
+    retain(std::move(existing->second), now);
+    objects_.erase(existing);
+    return true;
+}
+
 mirror_effects object_mirror::merge_peer_copy(object_page&& copy, time_point now)
 {
     if (copy.has_more || (is_synced_ && copy.revision <= revision_)) {
         return {};
     }
     const auto revision = copy.revision;
-    const bool was_synced = std::exchange(is_synced_, true);
-    const bool has_changed = replace_all(std::move(copy.objects), revision, now);
-    if (!was_synced) {
-        tombstones_complete_since_ = revision; // Earlier removals are unknown.
-    }
-    revision_ = revision;
-    if (has_changed || !was_synced) {
+    if (replace_all(std::move(copy.objects), revision, revision, now)) {
         return {mirror_updated{}};
     }
     return {};
 }
 
-mirror_effects object_mirror::merge_peer_copy(object_changes&& changes, time_point now)
+mirror_effects object_mirror::merge_peer_copy(object_changes&& changes, store_revision since,
+                                              time_point now)
 {
-    if (!is_synced_ || changes.revision <= revision_) {
+    if (!is_exact() || since != revision_ || changes.revision <= revision_) {
         return {};
     }
+    record_skipped_changes(changes.revision);
     if (apply(std::move(changes), now)) {
         return {mirror_updated{}};
     }
@@ -151,7 +158,8 @@
 
 std::optional<object_changes> object_mirror::changes_since(store_revision revision) const
 {
-    if (!is_synced_ || revision < tombstones_complete_since_) {
+    const bool was_skipped = revision > skipped_from_ && revision < skipped_until_;
+    if (!is_exact() || revision < tombstones_complete_since_ || was_skipped) {
         return std::nullopt;
     }
     object_changes all;
@@ -189,17 +197,7 @@
 mirror_effects object_mirror::tick(time_point now)
 {
     mirror_effects effects;
-    const auto count = objects_.size();
-    std::erase_if(pending_removals_, [&](const auto& it) {
-        if (now < it.second) {
-            return false;
-        }
-        objects_.erase(it.first);
-        // Peers already have the current revision, so they receive the removal with the next one.
-        add_tombstone(it.first, store_revision{revision_.value() + 1});
-        return true;
-    });
-    if (objects_.size() != count) {
+    if (std::erase_if(retained_, [&](const auto& it) { return now >= it.second.until; }) > 0) {
         effects.emplace_back(mirror_updated{});
     }
     if (!retry_at_ || now < *retry_at_) {
@@ -216,23 +214,32 @@
 std::optional<time_point> object_mirror::next_timer() const
 {
     auto next = retry_at_;
-    for (const auto& [name, until] : pending_removals_) {
-        next = next ? std::min(*next, until) : until;
+    for (const auto& [name, it] : retained_) {
+        next = std::min(next.value_or(it.until), it.until);
     }
     return next;
 }
 
-void object_mirror::remove(const std::string& name, store_revision revision, time_point now)
+std::vector<const mirrored_object*> object_mirror::objects_in_use() const
 {
-    const bool is_within_grace =
-        restored_at_ != time_point{} && now - restored_at_ < settings_.removal_grace;
-    if (is_within_grace) {
-        pending_removals_.try_emplace(name, now + settings_.removal_grace);
-        return;
+    std::vector<const mirrored_object*> all;
+    all.reserve(objects_.size() + retained_.size());
+    for (const auto& [name, object] : objects_) {
+        all.push_back(&object);
+    }
+    for (const auto& [name, it] : retained_) {
+        all.push_back(&it.object);
+    }
+    return all;
+}
+
+void object_mirror::retain(mirrored_object&& object, time_point now)
+{
+    if (restored_at_ != time_point{} && now - restored_at_ < settings_.removal_grace) {
+        auto name = object.name;
+        retained_.try_emplace(std::move(name),
+                              retained_object{std::move(object), now + settings_.removal_grace});
     }
-    pending_removals_.erase(name);
-    objects_.erase(name);
-    add_tombstone(name, revision);
 }
 
 void object_mirror::add_tombstone(const std::string& name, store_revision revision)
@@ -250,10 +257,10 @@
 
 bool object_mirror::upsert(mirrored_object&& object)
 {
-    pending_removals_.erase(object.name);
+    const bool was_retained = retained_.erase(object.name) > 0;
     auto& existing = objects_[object.name];
     if (existing.revision > object.revision || existing == object) {
-        return false;
+        return was_retained;
     }
     existing = std::move(object);
     tombstones_.erase(existing.name);
@@ -261,10 +268,12 @@
 }
 
 bool object_mirror::replace_all(std::vector<mirrored_object>&& all, store_revision revision,
-                                time_point now)
+                                store_revision exact_from, time_point now)
 {
+    bool has_changed = !is_synced_;
+    exact_from_ = std::max(exact_from_, exact_from);
+    record_skipped_changes(exact_from_);
     std::set<std::string> present;
-    bool has_changed = false;
     for (auto& it : all) {
         present.insert(it.name);
         has_changed = upsert(std::move(it)) || has_changed;
@@ -275,10 +284,25 @@
             missing.push_back(name);
         }
     }
-    for (const auto& it : missing) {
-        remove(it, revision, now);
+    for (const auto& name : missing) {
+        // An object that is newer than the whole copy was created after it.
+        has_changed = apply_removal({name, revision, {}}, exact_from, now) || has_changed;
+    }
+    revision_ = revision;
+    return has_changed;
+}
+
+void object_mirror::record_skipped_changes(store_revision until)
+{
+    if (!std::exchange(is_synced_, true)) {
+        tombstones_complete_since_ = until; // Earlier removals are unknown.
+        return;
+    }
+    if (skipped_until_ <= revision_) {
+        tombstones_complete_since_ = std::max(tombstones_complete_since_, skipped_until_);
+        skipped_from_ = revision_;
     }
-    return has_changed || !missing.empty();
+    skipped_until_ = std::max(skipped_until_, until);
 }
 
 } // namespace endivelatch
