Make fewer calls of the store at a start and per change

Change: a router looks its peers up at its start and delays its watches until it knows the members or has found none, as it did with seeds.

--- a/include/endivelatch/entry/entry_process.hpp
+++ b/include/endivelatch/entry/entry_process.hpp
@@ -42,8 +42,8 @@
     static constexpr duration min_stop_time{2'500'000};
     /// A stopping router exits at least this long before the platform would kill it.
     static constexpr duration stop_margin{500'000};
-    /// Time after the start at which a router without peers looks them up in the store.
-    static constexpr duration peer_lookup_delay{1'000'000};
+    /// Interval at which a router without peers looks them up in the store, first at its start.
+    static constexpr duration peer_lookup_interval{5'000'000};
     /// Timeout of calls that register this router or list the others.
     static constexpr duration call_timeout{1'500'000};
     /// Interval between checks for copy queries that have waited for the maximum time.
--- a/include/endivelatch/entry/entry_process_life.hpp
+++ b/include/endivelatch/entry/entry_process_life.hpp
@@ -75,7 +75,8 @@
                      object_kind::targets,
                      settings.store,
                      // Registrations that expired during an outage are renewed within two seconds.
-                     mirror_settings{.removal_grace = std::chrono::milliseconds{1'800}},
+                     mirror_settings{.removal_grace = std::chrono::milliseconds{1'800},
+                                     .first_list_may_be_stale = true},
                      stable_hash(settings.id.str()) + 1,
                      {[this] { targets_updated(); }, [this] { return fleet_.live_peers(); },
                       [this] { return fleet_.watchers_to_follow(); },
@@ -137,7 +138,7 @@
     target_mirror_.start();
     announce();
     housekeep();
-    peer_lookup_timer_.start(peer_lookup_delay);
+    find_peers();
     write(log_event{"started"}
               .add("router", settings_.id)
               .add("domain", settings_.domain)
@@ -347,8 +348,8 @@
     if (fleet_.has_peers()) {
         return;
     }
-    peer_lookup_timer_.start(peer_lookup_delay * 5);
-    const auto call = Protocol::list_call(object_kind::routers, {});
+    peer_lookup_timer_.start(peer_lookup_interval);
+    const auto call = Protocol::list_call(object_kind::routers, list_objects{});
     call_client_.call(
         {settings_.store, call.method, call.target, call.body, call_timeout},
         [this](call_outcome&& outcome) {
@@ -358,6 +359,7 @@
                                   : Protocol::read_page(reply->body);
             if (!has_value(page)) {
                 write(log_event{"no_peers_found"}.add("reason", to_string(findings_of(page))));
+                fleet_.end_lookup();
                 return;
             }
             std::vector<endpoint> found;
@@ -368,6 +370,7 @@
                 }
             }
             fleet_.add_seeds(found);
+            fleet_.end_lookup();
         });
 }
 
--- a/include/endivelatch/entry/fleet_view.hpp
+++ b/include/endivelatch/entry/fleet_view.hpp
@@ -55,6 +55,9 @@
     /// Adds gossip addresses that are tried for the discovery of routers.
     void add_seeds(const std::vector<endpoint>& seeds);
 
+    /// Ends the wait for a lookup of other routers' addresses, after the found ones were added.
+    void end_lookup() { is_looking_up_ = false; }
+
     /// Announces to the other routers whether this one accepts requests.
     void publish_ready(bool is_ready);
 
@@ -80,7 +83,7 @@
     /// those in the same failure domain last. Empty if this router is itself a watcher.
     std::vector<endpoint> watchers_to_follow();
 
-    /// Returns whether the router has started recently and has no list of members yet.
+    /// Returns whether the router has started recently and may learn of other routers soon.
     bool is_joining() const;
 
     /// Returns whether any other router is known.
@@ -120,6 +123,7 @@
     std::uint64_t last_load_packet_ = 0; ///< Number of the last packet with only load reports.
     incarnation run_;
     time_point started_at_{};
+    bool is_looking_up_ = true; ///< The addresses of other routers are not known yet.
     std::map<router_id, bool> ready_;
     load_table loads_;
     random_source random_;
--- a/include/endivelatch/entry/mirror_client.hpp
+++ b/include/endivelatch/entry/mirror_client.hpp
@@ -128,7 +128,7 @@
     static constexpr duration peer_retry_delay{200'000};
     static constexpr duration peer_poll_delay{50'000};
     /// Interval between checks whether the discovery of other routers has ended.
-    static constexpr duration join_check_interval{200'000};
+    static constexpr duration join_check_interval{50'000};
 
 private:
     time_point now() const { return loop_->now(); }
@@ -148,7 +148,7 @@
 
     void list(const list_objects& e)
     {
-        send(Protocol::list_call(kind_, e.after), list_timeout,
+        send(Protocol::list_call(kind_, e), list_timeout,
              [this](const std::string& body) { return update_mirror(Protocol::read_page(body)); });
     }
 
--- a/include/endivelatch/entry/protocol.hpp
+++ b/include/endivelatch/entry/protocol.hpp
@@ -46,7 +46,7 @@
                                   const attempt_parameters& parameters,
                                   const refuse_request& refusal, const entry_settings& settings,
                                   const mirrored_object& object, const object_page& page,
-                                  const object_changes& changes,
+                                  const object_changes& changes, const list_objects& list,
                                   const std::vector<endpoint>& addresses, duration time)
 {
     // clang-format off
@@ -58,7 +58,7 @@
     { P::is_readiness_query(text) } -> std::same_as<bool>;
     { P::read_entry_query(text) } -> std::same_as<std::optional<entry_query>>;
     { P::write_entry_list(addresses, time) } -> std::same_as<std::string>;
-    { P::list_call(object_kind{}, text) } -> std::same_as<store_call>;
+    { P::list_call(object_kind{}, list) } -> std::same_as<store_call>;
     { P::watch_call(object_kind{}, store_revision{}, time) } -> std::same_as<store_call>;
     { P::register_router_call(settings) } -> std::same_as<store_call>;
     { P::forget_router_call(settings) } -> std::same_as<store_call>;
--- a/include/endivelatch/mirror/object_mirror.hpp
+++ b/include/endivelatch/mirror/object_mirror.hpp
@@ -49,6 +49,7 @@
 /// Effect: read the next page of the list.
 struct list_objects {
     std::string after; ///< Name of the last object of the previous page; empty for the first page.
+    bool allows_stale = false; ///< The store may answer with a state that is seconds old.
 };
 
 /// Effect: wait for changes after a revision.
@@ -82,6 +83,9 @@
     duration min_outage{1'000'000};
     /// How long such removals are delayed; zero for kinds whose objects do not expire.
     duration removal_grace{};
+    /// Whether the first list may be seconds old, which is cheaper for the store. The watch after
+    /// it starts at the revision of the list, so it reports what the list lacks.
+    bool first_list_may_be_stale = false;
 };
 
 /// Maintains the copy and decides on the next call. A pure state machine without I/O or clock.
@@ -200,6 +204,7 @@
     bool is_synced_ = false;
     bool is_connected_ = false;
     bool next_call_is_list_ = true;
+    bool has_history_expired_ = false; ///< At least once, so that lists must not be stale.
 };
 
 } // namespace endivelatch
--- a/src/entry/fleet_view.cpp
+++ b/src/entry/fleet_view.cpp
@@ -158,7 +158,7 @@
 
 bool fleet_view::is_joining() const
 {
-    return !seeds_.empty() && !membership_.is_synced() &&
+    return (is_looking_up_ || !seeds_.empty()) && !membership_.is_synced() &&
            loop_->now() - started_at_ < max_join_time;
 }
 
--- a/src/mirror/object_mirror.cpp
+++ b/src/mirror/object_mirror.cpp
@@ -27,7 +27,8 @@
     }
     retry_at_.reset();
     next_call_is_list_ = true;
-    return {list_objects{std::move(after)}};
+    const bool is_first = !is_synced_ && !has_history_expired_;
+    return {list_objects{std::move(after), is_first && settings_.first_list_may_be_stale}};
 }
 
 mirror_effects object_mirror::continue_watching(mirror_effects&& effects)
@@ -180,6 +181,7 @@
 mirror_effects object_mirror::handle_history_expired(time_point now)
 {
     record_response(now);
+    has_history_expired_ = true;
     return list_from({});
 }
 
--- a/tests/mirror/object_mirror_test.cpp
+++ b/tests/mirror/object_mirror_test.cpp
@@ -74,6 +74,25 @@
     EXPECT_EQ(mirror.objects().size(), 2U);
 }
 
+TEST_F(mirror_fixture, only_the_first_list_may_be_stale)
+{
+    object_mirror starting{mirror_settings{.first_list_may_be_stale = true}, 2};
+    auto effects = starting.start(clock.now());
+    EXPECT_TRUE(find_effect<list_objects>(effects)->allows_stale);
+    effects = starting.handle_response(page({object("a", 1)}, 5), clock.now());
+    EXPECT_EQ(find_effect<watch_objects>(effects)->after, store_revision{5});
+    effects = starting.start(clock.now());
+    EXPECT_FALSE(find_effect<list_objects>(effects)->allows_stale);
+}
+
+TEST_F(mirror_fixture, a_list_after_expired_history_is_not_stale)
+{
+    object_mirror starting{mirror_settings{.first_list_may_be_stale = true}, 2};
+    starting.start(clock.now());
+    const auto effects = starting.handle_history_expired(clock.now());
+    EXPECT_FALSE(find_effect<list_objects>(effects)->allows_stale);
+}
+
 TEST_F(mirror_fixture, follows_changes_and_ignores_older_ones)
 {
     mirror.handle_response(page({object("a", 4)}, 5), clock.now());
