Estimate the mean load from reports, spill over along a prompt's order, measure speeds

Without a fresh report a router extrapolated its own count to 294 others. For plain services all routers followed the same report, older than several service times, to one target.

Change: the mean comes from the load reports, the own count has the weight of one report. A prompt that spills over goes to the next three targets in its rendezvous order if one is on time. The share of the bound that is used decreases with the age of the report by an amount that differs between requests. Loads of plain services count only where requests wait. Prefill rate and service time are estimated per pool from answers (work_estimate) and start with the former constants.

--- a/include/endivelatch/traffic/target_choice.hpp
+++ b/include/endivelatch/traffic/target_choice.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "endivelatch/traffic/target_table.hpp"
+#include "endivelatch/traffic/work_estimate.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -22,6 +23,7 @@
     std::uint32_t routers = 1;      ///< Live routers, including this one.
     double load_bound = 2;          ///< Maximum load of a target, relative to the mean.
     const std::set<target_id>* tried = nullptr; ///< Targets that were already tried.
+    work_estimate work;                         ///< Of the pool's targets.
 };
 
 /// The selected target and the estimates behind the selection.
@@ -52,23 +54,24 @@
 
 /// Delay of the first token, in ms, per request that runs on the engine.
 inline constexpr double engine_ms_per_request = 1.5;
-/// Service time of a request at a plain service, in ms; the deployments' data sheets give 15.
-inline constexpr double service_time_ms = 15;
+/// Targets in the rendezvous order of a prompt that are considered first. Requests that spill over
+/// from a home then share the next targets, and with them their caches. Routers that choose among
+/// all targets by the same old reports would all spill over to the least loaded one.
+inline constexpr std::size_t preferred_targets = 4;
+/// Weight of the router's own count in the estimate of the mean load, in load reports.
+inline constexpr double own_count_weight = 1;
 /// Cost of a target in another failure domain, in ms: round trip and transfer of the body.
 inline constexpr double cross_domain_ms = 4;
 /// Requests that may queue at a plain target, as a share of its slots.
 inline constexpr double service_queue_share = 1.0;
 /// Requests that each target may hold above the load bound, so that small pools remain usable.
 inline constexpr double load_allowance = 2;
-/// Share of the load bound that is used while the target's load report is at most
-/// `fresh_report_age` old, and from `stale_report_age` on or without a report. The share decreases
-/// because many routers with the same old report would overload the target together.
+/// Share of the load bound that is used with a new load report, and the most by which it is reduced
+/// with a report that is `stale_report_age` old or without one.
 inline constexpr double fresh_bound_share = 0.9;
-inline constexpr double stale_bound_share = 0.7;
-/// Median age of load reports in a fleet of eight routers.
-inline constexpr duration fresh_report_age{400'000};
+inline constexpr double bound_share_spread = 0.5;
 /// Requests last about a second, so older reports no longer reflect the load.
-inline constexpr duration stale_report_age{1'400'000};
+inline constexpr duration stale_report_age{400'000};
 
 /// Minimum number of shared tokens missing from a target's cache for which a fetch from another
 /// target is worthwhile.
--- a/include/endivelatch/traffic/target_state.hpp
+++ b/include/endivelatch/traffic/target_state.hpp
@@ -45,9 +45,6 @@
     friend bool operator==(const sent_request&, const sent_request&) = default;
 };
 
-/// Prefill rate of an engine, from the deployments' data sheets.
-inline constexpr double prefill_tokens_per_ms = 40;
-
 /// Tracks registration, load, health and cached prompt parts of a target.
 class target_state {
 public:
@@ -68,8 +65,10 @@
     /// Records that a request was sent.
     void add_request(const sent_request& request);
 
-    /// Records the first byte of an answer, which marks the end of the prefill.
-    void record_first_byte(const sent_request& request, time_point now);
+    /// Records the first byte of an answer, which marks the end of the prefill. Engines of the pool
+    /// prefill `prefill_tokens_per_ms` tokens per ms.
+    void record_first_byte(const sent_request& request, double prefill_tokens_per_ms,
+                           time_point now);
 
     /// Records that a request ended before the first byte of its answer.
     void record_no_answer(const sent_request& request);
@@ -108,6 +107,13 @@
     /// report decreases with its age in favour of `expected`.
     double others_in_flight(double expected, time_point now) const;
 
+    /// Returns the weight of the last load report: 1 for a new one, 0 for one that is older than
+    /// `report_lifetime` or if there is none.
+    double report_weight(time_point now) const;
+
+    /// Returns the requests of other routers by the last load report.
+    double reported_others() const;
+
     /// Returns the age of the last load report, if any.
     std::optional<duration> report_age(time_point now) const;
 
--- a/include/endivelatch/traffic/traffic_router.hpp
+++ b/include/endivelatch/traffic/traffic_router.hpp
@@ -165,6 +165,7 @@
                        std::string_view reason);
     retry_budget& budget_of(const pool_id& pool);
     void configure_budget(retry_budget& budget) const;
+    void record_service_time(const exchange& it);
 
     // Answers, in traffic_answers.cpp.
     void handle_refusal(exchange_number number, exchange& it, const target_answer& answer);
@@ -194,6 +195,7 @@
     std::deque<early_request> early_requests_; ///< In order of arrival.
     std::set<std::pair<time_point, exchange_number>> timers_;
     std::map<pool_id, retry_budget> budgets_;
+    std::map<pool_id, work_estimate> work_;
     counters metrics_;
     std::optional<stop_announced> stop_;
     time_point stop_started_at_{};
--- a/src/traffic/target_choice.cpp
+++ b/src/traffic/target_choice.cpp
@@ -41,22 +41,37 @@
     return shared.empty() ? query.request_hash : mix_bits(shared.back().id);
 }
 
-std::vector<candidate> estimate_load(const choice_query& query,
-                                     const std::vector<target_state*>& targets, time_point now)
+/// Estimates the mean number of requests that other routers have in flight at a target: from the
+/// load reports, and from the own count as far as there are none. In a large fleet a router has few
+/// requests in flight, so its own count says little about the others.
+double expected_others(const choice_query& query, const std::vector<target_state*>& targets,
+                       time_point now)
 {
     double own = 0;
+    double reported = 0;
+    double weights = 0;
     for (const auto* it : targets) {
         own += it->own_in_flight();
+        const auto weight = it->report_weight(now);
+        reported += weight * it->reported_others();
+        weights += weight;
     }
     const auto mean_own = own / static_cast<double>(std::max<std::size_t>(targets.size(), 1));
-    const auto expected_others = mean_own * (std::max(query.routers, 1U) - 1);
+    const auto extrapolated = mean_own * (std::max(query.routers, 1U) - 1);
+    return (reported + own_count_weight * extrapolated) / (weights + own_count_weight);
+}
+
+std::vector<candidate> estimate_load(const choice_query& query,
+                                     const std::vector<target_state*>& targets, time_point now)
+{
+    const auto expected = expected_others(query, targets, now);
     const auto placement = placement_hash(query);
     std::vector<candidate> all;
     all.reserve(targets.size());
     for (auto* it : targets) {
         candidate c;
         c.target = it;
-        c.in_flight = it->own_in_flight() + it->others_in_flight(expected_others, now);
+        c.in_flight = it->own_in_flight() + it->others_in_flight(expected, now);
         c.rank = rendezvous_weight(placement, it->hash());
         all.push_back(c);
     }
@@ -86,28 +101,33 @@
     it.prefill_tokens = query.prompt->tokens - std::min(cached, query.prompt->tokens);
     it.wait = it.target->expected_wait(query.priority, now);
     const auto wait_ms = std::chrono::duration<double, std::milli>{it.wait}.count();
-    const auto queued_ms = static_cast<double>(it.target->prefill_tokens()) / prefill_tokens_per_ms;
-    it.cost_ms = it.prefill_tokens / prefill_tokens_per_ms + std::max(wait_ms, queued_ms) +
+    const auto rate = query.work.prefill_tokens_per_ms();
+    const auto queued_ms = static_cast<double>(it.target->prefill_tokens()) / rate;
+    it.cost_ms = it.prefill_tokens / rate + std::max(wait_ms, queued_ms) +
                  it.in_flight * engine_ms_per_request + domain_cost(query, it);
 }
 
-/// Estimates the wait for a slot, plus a small cost for each occupied slot.
+/// Estimates the wait for a slot, plus a small cost for each slot that this router occupies. Loads
+/// of other routers count only where requests wait: below that, their differences change within a
+/// service time, and routers that followed the same report would all choose the same target.
 void estimate_service_cost(const choice_query& query, candidate& it)
 {
     const double slots = std::max(it.target->registration().slots, 1U);
     const auto waiting = std::max(0.0, it.in_flight + 1 - slots);
-    it.cost_ms = (waiting + it.in_flight) * service_time_ms / slots + domain_cost(query, it);
+    it.cost_ms = (waiting + it.target->own_in_flight()) * query.work.service_time_ms() / slots +
+                 domain_cost(query, it);
 }
 
-/// Returns the usable share of the load bound, which decreases with the age of the load report.
-double bound_share(const target_state& target, time_point now)
+/// Returns the usable share of the load bound. It decreases with the age of the load report, by an
+/// amount that differs between requests: with one threshold, all routers would send to a target
+/// until a report above it has reached them, and then all stop.
+double bound_share(const choice_query& query, const target_state& target, time_point now)
 {
     const auto age = target.report_age(now).value_or(stale_report_age);
-    const auto staleness =
-        std::chrono::duration<double>{std::clamp(age, fresh_report_age, stale_report_age) -
-                                      fresh_report_age} /
-        std::chrono::duration<double>{stale_report_age - fresh_report_age};
-    return fresh_bound_share - (fresh_bound_share - stale_bound_share) * staleness;
+    const auto staleness = std::min(
+        std::chrono::duration<double>{age} / std::chrono::duration<double>{stale_report_age}, 1.0);
+    const auto fraction = random_source{query.request_hash}.fraction();
+    return fresh_bound_share - bound_share_spread * staleness * fraction;
 }
 
 /// Returns whether the target can accept one more request within its load bound.
@@ -116,7 +136,8 @@
     if (it.target->is_ejected(now) || it.target->is_full(now)) {
         return false;
     }
-    const auto bound = query.load_bound * bound_share(*it.target, now) * mean + load_allowance;
+    const auto bound =
+        query.load_bound * bound_share(query, *it.target, now) * mean + load_allowance;
     if (it.in_flight + 1 > std::max(bound, 1.0)) {
         return false;
     }
@@ -147,6 +168,24 @@
     return a.cost_ms < b.cost_ms || (a.cost_ms == b.cost_ms && a.rank > b.rank);
 }
 
+double mean_in_flight(const std::vector<candidate>& all)
+{
+    const auto total = std::accumulate(
+        all.begin(), all.end(), 0.0, [](double sum, const auto& it) { return sum + it.in_flight; });
+    return total / static_cast<double>(all.size());
+}
+
+/// Moves the targets that come first in the rendezvous order to the front and marks the home.
+/// Returns their number.
+std::size_t move_preferred_first(std::vector<candidate>& all)
+{
+    const auto count = std::min(preferred_targets, all.size());
+    std::partial_sort(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(count), all.end(),
+                      [](const auto& a, const auto& b) { return a.rank > b.rank; });
+    all.front().is_home = true;
+    return count;
+}
+
 /// Returns the target to which this router sent the most of the prompt's shared parts, if it caches
 /// over `min_fetch_tokens` tokens more than the chosen target.
 const target_state* find_cache_source(const target_table& table, const choice_query& query,
@@ -237,18 +276,15 @@
         return no_target_reason::none_registered;
     }
     auto all = estimate_load(query, targets, now);
-    double total = 0;
-    for (const auto& it : all) {
-        total += it.in_flight;
-    }
-    const auto mean = total / static_cast<double>(all.size());
-    const auto home = std::max_element(
-        all.begin(), all.end(), [](const auto& a, const auto& b) { return a.rank < b.rank; });
-    home->is_home = true;
-
+    const auto mean = mean_in_flight(all);
+    const auto preferred = query.prompt != nullptr ? move_preferred_first(all) : all.size();
     const candidate* best = nullptr;
     const candidate* fallback = nullptr; ///< Above its bound or ejected, but not full.
-    for (auto& it : all) {
+    for (std::size_t n = 0; n < all.size(); ++n) {
+        auto& it = all[n];
+        if (n == preferred && best != nullptr && is_on_time(query, *best)) {
+            break;
+        }
         if (query.tried != nullptr && query.tried->contains(it.target->registration().id)) {
             continue;
         }
--- a/src/traffic/target_state.cpp
+++ b/src/traffic/target_state.cpp
@@ -42,7 +42,8 @@
     return true;
 }
 
-void target_state::record_first_byte(const sent_request& request, time_point now)
+void target_state::record_first_byte(const sent_request& request, double prefill_tokens_per_ms,
+                                     time_point now)
 {
     if (!remove_waiting(request)) {
         return;
@@ -128,15 +129,23 @@
 }
 
 double target_state::others_in_flight(double expected, time_point now) const
+{
+    const auto weight = report_weight(now);
+    return reported_others() * weight + expected * (1.0 - weight);
+}
+
+double target_state::report_weight(time_point now) const
 {
     if (!reported_) {
-        return expected;
+        return 0;
     }
-    const auto reported = std::max(0.0, static_cast<double>(*reported_) - own_in_flight_at_report_);
     const auto age = std::chrono::duration<double>{now - reported_at_};
-    const auto weight =
-        std::clamp(1.0 - age / std::chrono::duration<double>{report_lifetime}, 0.0, 1.0);
-    return reported * weight + expected * (1.0 - weight);
+    return std::clamp(1.0 - age / std::chrono::duration<double>{report_lifetime}, 0.0, 1.0);
+}
+
+double target_state::reported_others() const
+{
+    return std::max(0.0, static_cast<double>(reported_.value_or(0)) - own_in_flight_at_report_);
 }
 
 std::optional<duration> target_state::report_age(time_point now) const
--- a/src/traffic/traffic_attempts.cpp
+++ b/src/traffic/traffic_attempts.cpp
@@ -30,6 +30,7 @@
     query.routers = routers_;
     query.load_bound = settings_.load_bound;
     query.tried = &it.tried;
+    query.work = work_[it.pool];
     const auto result = choose_target(query, targets_, now_);
     if (const auto* reason = std::get_if<no_target_reason>(&result)) {
         log(log_event{"no_target"}
@@ -172,6 +173,14 @@
     fail_request(number, it, it.may_have_run > 0 ? 502 : 503, reason);
 }
 
+/// Records how long a plain service took for the current attempt, which it has answered.
+void traffic_router::record_service_time(const exchange& it)
+{
+    if (!it.request->prompt && it.answer && it.answer->is_success()) {
+        work_[it.pool].record_service_time(now_ - it.running->sent.at);
+    }
+}
+
 retry_budget& traffic_router::budget_of(const pool_id& pool)
 {
     const auto [it, is_new] = budgets_.try_emplace(pool);
--- a/src/traffic/traffic_router.cpp
+++ b/src/traffic/traffic_router.cpp
@@ -131,7 +131,9 @@
     if (!running.has_first_byte) {
         running.has_first_byte = true;
         if (auto* target = target_of(it->second); target != nullptr) {
-            target->record_first_byte(running.sent, now_);
+            auto& work = work_[it->second.pool];
+            work.record_prefill(running.sent.prefill_tokens, now_ - running.sent.at);
+            target->record_first_byte(running.sent, work.prefill_tokens_per_ms(), now_);
         }
     }
     handle_body_bytes(e.key.exchange, it->second, std::move(e.bytes));
@@ -148,6 +150,7 @@
         retry_or_fail(e.key.exchange, it->second, false, "the stream ended within an event");
         return;
     }
+    record_service_time(it->second);
     end_attempt(it->second, attempt_outcome::answered);
     complete_answer(e.key.exchange, it->second);
 }
--- a/tests/traffic/load_spread_test.cpp
+++ b/tests/traffic/load_spread_test.cpp
@@ -3,40 +3,91 @@
 #include "endivelatch/base/hash.hpp"
 #include "endivelatch/membership/load_table.hpp"
 
+#include <cmath>
 #include <map>
 #include <queue>
 #include <random>
 
-/// Load pattern: as many routers as targets, with few requests per router. A router receives an
-/// answer of a given target, and with it a load report, only every 12 s. Without the reports that
-/// routers share with each other, their load estimates would be outdated.
+/// Load patterns of large fleets with few requests per router. A router receives an answer of a
+/// given target, and with it a load report, only every 12 to 40 s. Without the reports that routers
+/// share with each other, their load estimates would be outdated.
 namespace endivelatch {
 namespace {
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr std::size_t router_count = 87;
-constexpr int target_count = 90;
-constexpr double requests_per_second = 600;
+/// Size and traffic of a fleet.
+struct load_pattern {
+    std::size_t routers = 0;
+    int targets = 0;
+    double requests_per_second = 0;
+    duration work{}; ///< Until the first byte.
+    /// Of the answer after the first byte: from the minimum, with a mean of half the spread more.
+    duration min_answer_time{};
+    std::uint64_t answer_time_spread_ms = 0;
+    bool is_plain_service = false;
+    bool has_hot_prompts = false;
+    duration exchange_period{}; ///< Each router exchanges loads with two others in this time.
+    duration measured_from{};   ///< Time from which requests count.
+    duration length{};
+};
+
+/// As many routers as targets.
+constexpr load_pattern even_fleet{.routers = 87,
+                                  .targets = 90,
+                                  .requests_per_second = 600,
+                                  .work = milliseconds{20},
+                                  .min_answer_time = milliseconds{200},
+                                  .answer_time_spread_ms = 1'000,
+                                  .has_hot_prompts = true,
+                                  .exchange_period = milliseconds{400},
+                                  .measured_from = seconds{20},
+                                  .length = seconds{40}};
+/// The first seconds of a day: no router has any load report.
+constexpr load_pattern starting_fleet{.routers = 295,
+                                      .targets = 240,
+                                      .requests_per_second = 1'326,
+                                      .work = milliseconds{20},
+                                      .min_answer_time = milliseconds{100},
+                                      .answer_time_spread_ms = 600,
+                                      .exchange_period = milliseconds{200},
+                                      .measured_from = seconds{1},
+                                      .length = seconds{6}};
+/// Few targets of a plain service that all routers call often. Its queues change completely in the
+/// time that a load report takes to all routers.
+constexpr load_pattern plain_service{.routers = 295,
+                                     .targets = 6,
+                                     .requests_per_second = 463,
+                                     .work = milliseconds{25},
+                                     .min_answer_time = milliseconds{1},
+                                     .answer_time_spread_ms = 10,
+                                     .is_plain_service = true,
+                                     .exchange_period = milliseconds{200},
+                                     .measured_from = seconds{5},
+                                     .length = seconds{20}};
+
 constexpr std::size_t prompt_count = 500;
+/// The frequency of a prompt is its rank to the power of minus this.
+constexpr double prompt_skew = 0.3;
 /// A target counts as overloaded above twice the mean load + 3. At most `max_overloaded_share` of
 /// the requests may reach an overloaded target.
 constexpr double load_bound = 2;
 constexpr double overload_allowance = 3;
 constexpr double max_overloaded_share = 0.03;
-/// Each router exchanges packets with two others in each gossip period.
-constexpr duration exchange_period = milliseconds{400};
 constexpr int exchanges_per_period = 2;
 
 /// Simulates a fleet of routers that select targets, with or without sharing load reports.
 class fleet_simulation {
 public:
-    explicit fleet_simulation(bool shares_loads) : shares_loads_{shares_loads}
+    fleet_simulation(const load_pattern& pattern, bool shares_loads)
+        : pattern_{pattern}, shares_loads_{shares_loads}, routers_{pattern.routers}
     {
         std::vector<registered_target> all;
-        for (int n = 1; n <= target_count; ++n) {
-            all.push_back(make_target(n));
+        for (int n = 1; n <= pattern_.targets; ++n) {
+            auto target = make_target(n);
+            target.slots = pattern_.is_plain_service ? service_slots : target.slots;
+            all.push_back(std::move(target));
             in_flight_[all.back().id] = 0;
         }
         for (auto& it : routers_) {
@@ -44,22 +95,22 @@
         }
     }
 
-    /// Simulates traffic for the given time. Returns the share of requests in the second half that
-    /// reached an overloaded target.
-    double simulate(duration length)
+    /// Simulates the traffic. Returns the share of the counted requests that reached an overloaded
+    /// target.
+    double simulate()
     {
         const auto begins_at = clock_.now();
         auto next_exchange = begins_at;
-        std::exponential_distribution<double> gap{requests_per_second};
-        while (clock_.now() < begins_at + length) {
+        std::exponential_distribution<double> gap{pattern_.requests_per_second};
+        while (clock_.now() < begins_at + pattern_.length) {
             clock_.advance(
                 std::chrono::duration_cast<duration>(std::chrono::duration<double>{gap(random_)}));
             advance_running_requests();
             if (shares_loads_ && clock_.now() >= next_exchange) {
-                next_exchange += exchange_period;
+                next_exchange += pattern_.exchange_period;
                 exchange_loads();
             }
-            send(clock_.now() > begins_at + length / 2);
+            send(clock_.now() > begins_at + pattern_.measured_from);
         }
         return static_cast<double>(overloaded_) / static_cast<double>(counted_);
     }
@@ -69,6 +120,7 @@
     struct simulated_router {
         target_table targets;
         load_table loads;
+        work_estimate work;
     };
 
     /// A request that is executed by a target.
@@ -84,32 +136,46 @@
 
     void send(bool counts)
     {
-        const auto number = random_.below(router_count);
+        const auto number = random_.below(pattern_.routers);
         auto& router = routers_[number];
         prompt_info prompt;
         prompt.tokens = 2'400;
-        // The product of fractions makes some prompts a few times as frequent as others.
-        const auto part =
-            random_.fraction() * random_.fraction() * random_.fraction() * prompt_count;
-        prompt.parts = {{static_cast<std::uint64_t>(part), 2'000},
-                        {1'000'000 + ++last_request_, 400}};
+        const auto part = random_part();
+        prompt.parts = {{part, 2'000}, {1'000'000 + ++last_request_, 400}};
         choice_query query;
         query.pool = pool_id{"pool"};
-        query.prompt = &prompt;
+        query.prompt = pattern_.is_plain_service ? nullptr : &prompt;
         query.objective = milliseconds{500};
         query.request_hash = mix_bits(last_request_);
-        query.routers = router_count;
+        query.routers = static_cast<std::uint32_t>(pattern_.routers);
+        query.work = router.work;
         const auto result = choose_target(query, router.targets, clock_.now());
+        if (!std::holds_alternative<chosen_target>(result)) {
+            return;
+        }
         auto& target = *std::get<chosen_target>(result).target;
         const auto& id = target.registration().id;
-        const double mean = static_cast<double>(running_requests_.size()) / target_count;
+        const double mean = static_cast<double>(running_requests_.size()) / pattern_.targets;
         counted_ += counts ? 1 : 0;
         overloaded_ += counts && in_flight_[id] > load_bound * mean + overload_allowance ? 1 : 0;
         ++in_flight_[id];
         const sent_request sent{clock_.now(), 0, 400};
         target.add_request(sent);
         target.record_prompt(prompt.parts, clock_.now());
-        running_requests_.push({clock_.now() + milliseconds{20}, number, id, sent, false});
+        running_requests_.push({clock_.now() + pattern_.work, number, id, sent, false});
+    }
+
+    std::uint64_t random_part()
+    {
+        auto fraction = random_.fraction();
+        if (pattern_.has_hot_prompts) {
+            // The product of fractions makes some prompts a hundred times as frequent as others.
+            fraction *= random_.fraction() * random_.fraction();
+        }
+        else {
+            fraction = std::pow(fraction, 1 / (1 - prompt_skew));
+        }
+        return static_cast<std::uint64_t>(fraction * prompt_count);
     }
 
     void advance_running_requests()
@@ -120,16 +186,20 @@
             auto& router = routers_[it.router];
             auto& target = *router.targets.find(it.target);
             if (it.has_begun) {
+                if (pattern_.is_plain_service) {
+                    router.work.record_service_time(clock_.now() - it.sent.at);
+                }
                 target.remove_request();
                 --in_flight_[it.target];
                 continue;
             }
             // The head of the answer contains the load report.
-            target.record_first_byte(it.sent, clock_.now());
+            target.record_first_byte(it.sent, router.work.prefill_tokens_per_ms(), clock_.now());
             target.update_load(in_flight_[it.target], clock_.now());
             router.loads.update(target.key(), in_flight_[it.target], clock_.now());
             it.has_begun = true;
-            it.ends_at += milliseconds{200 + random_.below(1'000)};
+            it.ends_at += pattern_.min_answer_time +
+                          milliseconds{random_.below(pattern_.answer_time_spread_ms)};
             running_requests_.push(it);
         }
     }
@@ -138,7 +208,7 @@
     {
         for (auto& it : routers_) {
             for (int n = 0; n < exchanges_per_period; ++n) {
-                auto& other = routers_[random_.below(router_count)];
+                auto& other = routers_[random_.below(pattern_.routers)];
                 send_loads(it, other);
                 send_loads(other, it);
             }
@@ -155,10 +225,13 @@
         }
     }
 
+    static constexpr std::uint32_t service_slots = 6;
+
+    load_pattern pattern_;
     bool shares_loads_;
     manual_clock clock_;
     random_source random_{20261204};
-    std::vector<simulated_router> routers_{router_count};
+    std::vector<simulated_router> routers_;
     std::map<target_id, std::uint32_t> in_flight_;
     std::priority_queue<running_request> running_requests_;
     std::uint64_t last_request_ = 0;
@@ -168,12 +241,22 @@
 
 TEST(load_spread, few_requests_reach_overloaded_targets)
 {
-    EXPECT_LE(fleet_simulation{true}.simulate(seconds{40}), max_overloaded_share);
+    EXPECT_LE((fleet_simulation{even_fleet, true}.simulate()), max_overloaded_share);
 }
 
 TEST(load_spread, without_loads_from_other_routers_too_many_would)
 {
-    EXPECT_GT(fleet_simulation{false}.simulate(seconds{40}), max_overloaded_share);
+    EXPECT_GT((fleet_simulation{even_fleet, false}.simulate()), max_overloaded_share);
+}
+
+TEST(load_spread, few_requests_reach_overloaded_targets_in_the_first_seconds)
+{
+    EXPECT_LE((fleet_simulation{starting_fleet, true}.simulate()), max_overloaded_share);
+}
+
+TEST(load_spread, few_requests_reach_overloaded_targets_of_a_plain_service)
+{
+    EXPECT_LE((fleet_simulation{plain_service, true}.simulate()), max_overloaded_share);
 }
 
 } // namespace
--- a/tests/traffic/target_choice_test.cpp
+++ b/tests/traffic/target_choice_test.cpp
@@ -1,7 +1,9 @@
 #include "router_fixture.hpp"
 
 #include "endivelatch/base/hash.hpp"
+#include "endivelatch/routing/rendezvous.hpp"
 
+#include <algorithm>
 #include <map>
 
 namespace endivelatch {
@@ -14,7 +16,7 @@
     choice_fixture()
     {
         std::vector<registered_target> all;
-        for (int n = 1; n <= 8; ++n) {
+        for (int n = 1; n <= target_count; ++n) {
             all.push_back(make_target(n));
             all.back().domain = domain_id{n % 2 == 0 ? "even" : "odd"};
         }
@@ -34,6 +36,8 @@
 
     target_state& target(int n) { return *table.find(target_id{"t" + std::to_string(n)}); }
 
+    static constexpr int target_count = 8;
+
     manual_clock clock;
     target_table table;
     prompt_info prompt;
@@ -63,13 +67,48 @@
     EXPECT_EQ(choose().target, home);
     home->add_request(large);
     EXPECT_NE(choose().target, home);
-    home->record_first_byte(small, clock.now());
-    home->record_first_byte(large, clock.now());
+    home->record_first_byte(small, query.work.prefill_tokens_per_ms(), clock.now());
+    home->record_first_byte(large, query.work.prefill_tokens_per_ms(), clock.now());
     home->remove_request();
     home->remove_request();
     EXPECT_EQ(choose().target, home);
 }
 
+TEST_F(choice_fixture, the_mean_comes_from_load_reports_if_there_are_any)
+{
+    query.routers = 300;
+    target(1).add_request({clock.now(), 0, 100}); // Extrapolated to one at each router.
+    query.prompt = &prompt;
+    const auto extrapolated = choose().mean_in_flight;
+    for (int n = 1; n <= target_count; ++n) {
+        target(n).update_load(2, clock.now());
+    }
+    EXPECT_GT(extrapolated, 30);
+    EXPECT_LT(choose().mean_in_flight, 3);
+}
+
+// Routers with the same old reports must not all spill over to the least loaded target.
+TEST_F(choice_fixture, a_prompt_spills_over_to_the_next_targets_in_its_order)
+{
+    query.prompt = &prompt;
+    std::vector<target_state*> order;
+    for (int n = 1; n <= target_count; ++n) {
+        order.push_back(&target(n));
+    }
+    const auto weight = [&](const target_state* it) {
+        return rendezvous_weight(mix_bits(prompt.parts[1].id), it->hash());
+    };
+    std::sort(order.begin(), order.end(),
+              [&](const auto* a, const auto* b) { return weight(a) > weight(b); });
+    ASSERT_EQ(choose().target, order.front());
+    order.front()->add_request({clock.now(), 0, 30'000});
+    const auto preferred = order.begin() + preferred_targets;
+    for (auto it = order.begin(); it != order.end(); ++it) {
+        (*it)->update_load(it < preferred ? 2 : 0, clock.now());
+    }
+    EXPECT_LT(std::find(order.begin(), order.end(), choose().target), preferred);
+}
+
 TEST_F(choice_fixture, a_received_load_counts_own_requests_once)
 {
     auto& busy = target(3);
@@ -201,7 +240,7 @@
     target(1).add_request(later);
     clock.advance(milliseconds{100});
     EXPECT_EQ(target(1).expected_wait(0, clock.now()), milliseconds{100});
-    target(1).record_first_byte(urgent, clock.now());
+    target(1).record_first_byte(urgent, query.work.prefill_tokens_per_ms(), clock.now());
     clock.advance(milliseconds{400});
     EXPECT_EQ(target(1).expected_wait(9, clock.now()), milliseconds{500});
     EXPECT_LT(target(1).expected_wait(0, clock.now()), milliseconds{100});
