Bound the size of an answer to a call and of a stream's event

A body without end in the answer of the store or of another router was collected until the timeout of the call, and an event without end of a resumable stream until the route's timeout; both in memory.

Change: an answer to a call has at most 16 MiB, else the connection is closed and the call fails. An event of a resumable stream has at most 256 KiB; beyond, the attempt is cancelled and the stream resumed elsewhere like one that broke.

--- a/include/endivelatch/entry/call_client.hpp
+++ b/include/endivelatch/entry/call_client.hpp
@@ -45,6 +45,10 @@
     /// Returns the number of calls made so far.
     std::uint64_t calls_made() const { return calls_made_; }
 
+    /// Maximum size in bytes of an answer's body. A page of the store has about a MiB, a copy of
+    /// 5,300 registrations less than two.
+    static constexpr std::uint64_t max_reply_size = 16'777'216;
+
 private:
     struct pending_call {
         call_reply reply;
--- a/include/endivelatch/entry/connection_pool.hpp
+++ b/include/endivelatch/entry/connection_pool.hpp
@@ -31,10 +31,11 @@
 /// A request to send.
 struct outgoing_request {
     endpoint to;
-    std::string bytes;          ///< Encoded head and body.
-    bool is_idempotent = false; ///< May be sent on a connection close to its idle timeout.
-    bool is_head = false;       ///< A HEAD request, whose answer has no body.
-    duration timeout{};         ///< Until the answer is complete; zero for none.
+    std::string bytes;               ///< Encoded head and body.
+    bool is_idempotent = false;      ///< May be sent on a connection close to its idle timeout.
+    bool is_head = false;            ///< A HEAD request, whose answer has no body.
+    duration timeout{};              ///< Until the answer is complete; zero for none.
+    std::uint64_t max_body_size = 0; ///< Of the answer, in bytes; zero for no limit.
 };
 
 /// Sends HTTP/1.1 requests over persistent connections, one request at a time on each. The pool
--- a/include/endivelatch/traffic/event_splitter.hpp
+++ b/include/endivelatch/traffic/event_splitter.hpp
@@ -23,6 +23,9 @@
     /// Returns whether an incomplete event is buffered.
     bool has_partial_event() const { return !buffer_.empty(); }
 
+    /// Returns the number of buffered bytes of an incomplete event.
+    std::size_t partial_size() const { return buffer_.size(); }
+
     /// Discards the buffered incomplete event.
     void drop_partial_event() { buffer_.clear(); }
 
--- a/include/endivelatch/traffic/traffic_router.hpp
+++ b/include/endivelatch/traffic/traffic_router.hpp
@@ -65,6 +65,8 @@
     static constexpr int silent_after_objectives = 6;
     /// Maximum size in bytes of a plain answer's body that is buffered until complete.
     static constexpr std::size_t max_buffered_bytes = 262'144;
+    /// Maximum size in bytes of one event of a resumable stream, which is buffered until complete.
+    static constexpr std::size_t max_event_bytes = 262'144;
     /// Maximum wait of a request that arrives before configuration and targets are loaded. Loading
     /// takes a few ms while the store is available, less than a retry by the caller.
     static constexpr duration early_request_wait{150'000};
--- a/src/entry/call_client.cpp
+++ b/src/entry/call_client.cpp
@@ -26,6 +26,7 @@
     out.to = request.to;
     out.is_idempotent = true;
     out.timeout = request.timeout;
+    out.max_body_size = max_reply_size;
     out.bytes = request.method + " " + request.target + " HTTP/1.1\r\n";
     append_header(out.bytes, "Host", request.to.address + ":" + std::to_string(request.to.port));
     if (!request.body.empty()) {
--- a/src/entry/connection_pool.cpp
+++ b/src/entry/connection_pool.cpp
@@ -51,6 +51,8 @@
     time_point idle_since{};
     time_point deadline{}; ///< Of connecting, then of the answer; zero for none.
     duration timeout{};
+    std::uint64_t body_size = 0; ///< Bytes of the current answer's body so far.
+    std::uint64_t max_body_size = 0;
 };
 
 connection_pool::connection_pool(event_loop& loop, connection_pool_callbacks callbacks)
@@ -97,6 +99,7 @@
     conn.reader = std::make_unique<response_reader>(
         response_callbacks{[this, &conn](response_head&& head) { on_head(conn, std::move(head)); },
                            [this, &conn](std::string_view bytes) {
+                               conn.body_size += bytes.size();
                                if (!conn.is_skipping && conn.is_busy) {
                                    callbacks_.on_body(conn.request, bytes);
                                }
@@ -125,6 +128,8 @@
     conn.is_skipping = false;
     conn.is_reusable = false;
     conn.timeout = request.timeout;
+    conn.body_size = 0;
+    conn.max_body_size = request.max_body_size;
     set_answer_deadline(conn);
     if (!conn.is_connected) {
         conn.deadline = loop_->now() + connect_timeout;
@@ -158,6 +163,10 @@
             fail(conn, "the answer is not HTTP");
             return;
         }
+        if (conn.is_busy && conn.max_body_size > 0 && conn.body_size > conn.max_body_size) {
+            fail(conn, "the answer is too large");
+            return;
+        }
         if (!conn.reader->is_complete()) {
             return;
         }
--- a/src/traffic/traffic_answers.cpp
+++ b/src/traffic/traffic_answers.cpp
@@ -94,6 +94,11 @@
     if (!complete_events.empty()) {
         forward_bytes(number, it, std::move(complete_events));
     }
+    if (it.events.partial_size() > max_event_bytes) {
+        effects_.emplace_back(cancel_attempt{{number, it.running->number}});
+        end_attempt(it, attempt_outcome::failed);
+        retry_or_fail(number, it, false, "an event of the stream is too large");
+    }
 }
 
 void traffic_router::forward_bytes(exchange_number number, exchange& it, std::string&& bytes)
--- a/tests/traffic/traffic_router_test.cpp
+++ b/tests/traffic/traffic_router_test.cpp
@@ -264,6 +264,21 @@
     ASSERT_NE(find<start_attempt>(), nullptr);
 }
 
+// A target may send bytes without ever ending an event.
+TEST_F(router_fixture, a_stream_with_an_endless_event_is_resumed_at_another_target)
+{
+    arrive("resumable");
+    const auto first = started();
+    dispatch(answer_begun{first, success()});
+    dispatch(answer_bytes{first, "id: 1\ndata: a\n\n"});
+    dispatch(answer_bytes{first, std::string(traffic_router::max_event_bytes, 'x')});
+    EXPECT_EQ(find<cancel_attempt>(), nullptr);
+    dispatch(answer_bytes{first, "x"});
+    EXPECT_NE(find<cancel_attempt>(), nullptr);
+    ASSERT_NE(find<start_attempt>(), nullptr);
+    EXPECT_EQ(find<start_attempt>()->parameters.resume_after, 1U);
+}
+
 TEST_F(router_fixture, a_disconnected_caller_cancels_its_attempt)
 {
     const auto number = arrive("stream");
