--- a/include/endivelatch/entry/entry_process_life.hpp
+++ b/include/endivelatch/entry/entry_process_life.hpp
@@ -399,6 +399,7 @@
     if (file_.has_changed()) {
         reload("file");
     }
+    router_.update_work_gauges();
     auto& metrics = router_.metrics();
     metrics.set("ready", is_ready() ? 1 : 0);
     for (const auto kind : {object_kind::configuration, object_kind::targets}) {
--- a/include/endivelatch/traffic/traffic_router.hpp
+++ b/include/endivelatch/traffic/traffic_router.hpp
@@ -50,6 +50,9 @@
     /// Returns the metrics of this router.
     counters& metrics() { return metrics_; }
 
+    /// Sets the gauges of the work estimates of all pools.
+    void update_work_gauges();
+
     /// Maximum attempts per request, including those that targets reported as not run.
     static constexpr std::uint32_t max_sends = 4;
     /// Fraction of the retry budget that is used. Routers count in slots of one second, so a window
--- a/src/traffic/traffic_router.cpp
+++ b/src/traffic/traffic_router.cpp
@@ -3,6 +3,7 @@
 #include "endivelatch/base/overloaded.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace endivelatch {
@@ -42,6 +43,16 @@
     return next;
 }
 
+void traffic_router::update_work_gauges()
+{
+    for (const auto& [pool, work] : work_) {
+        const auto labels = "pool=\"" + pool.str() + '"';
+        metrics_.set("prefill_tokens_per_s", std::llround(work.prefill_tokens_per_ms() * 1'000),
+                     labels);
+        metrics_.set("service_time_us", std::llround(work.service_time_ms() * 1'000), labels);
+    }
+}
+
 void traffic_router::on(request_arrived& e)
 {
     metrics_.add("requests");
--- a/tests/traffic/traffic_router_test.cpp
+++ b/tests/traffic/traffic_router_test.cpp
@@ -97,6 +97,20 @@
     EXPECT_FALSE(router.next_timer());
 }
 
+TEST_F(router_fixture, the_service_time_is_estimated_from_answers_and_shown)
+{
+    for (int n = 0; n < 50; ++n) {
+        arrive("unsafe");
+        const auto key = started();
+        clock.advance(milliseconds{30});
+        dispatch(answer_begun{key, success()});
+        dispatch(answer_bytes{key, "body"});
+        dispatch(answer_finished{key});
+    }
+    router.update_work_gauges();
+    EXPECT_EQ(router.metrics().value("service_time_us", "pool=\"pool\""), 30'000);
+}
+
 TEST_F(router_fixture, an_unsafe_request_is_sent_again_only_when_it_was_not_run)
 {
     arrive("unsafe");
