Query the status of forwarded bookings, whose answers may be lost without a lost link

No link is lost, so the entry router waits until the run's timeout, and a stop waits for it.

Change: the status of a forwarded booking is queried every 5 s. An owner that no longer knows it says so, and the booking is sent again to the ledger, which returns the stored result. A booking whose caller has left is never cancelled by that timer.

--- a/include/endivelatch/core/entry_requests.hpp
+++ b/include/endivelatch/core/entry_requests.hpp
@@ -109,6 +109,7 @@
         bool caller_disconnected = false;
         std::string last_reason; ///< Why the last attempt ended without a final outcome.
         duration retry_after{};
+        time_point ends_at{}; ///< The current attempt is given up then.
         time_point timer;
     };
 
@@ -138,6 +139,9 @@
     /// Handles the expiry of a request's timer.
     void expire(const request_id& id, const moment& at, outbox& out);
 
+    /// Schedules the end of the current attempt or, for a booking, the next query of its status.
+    void arm_attempt_timer(const request_id& id, pending_request& r, const moment& at);
+
     /// Asks the owner for the status of the current attempt.
     void query_status(const request_id& id, pending_request& r, const moment& at, outbox& out);
 
--- a/src/core/entry_requests.cpp
+++ b/src/core/entry_requests.cpp
@@ -12,6 +12,9 @@
 constexpr duration status_query_timeout = std::chrono::seconds{2};
 constexpr duration resume_timeout = std::chrono::minutes{5};
 constexpr duration run_timeout_margin = std::chrono::seconds{5};
+/// Interval between queries of the status of a forwarded booking. An owner that has just restarted
+/// does not know this router yet, so its answer may be lost without a lost link.
+constexpr duration booking_query_interval = std::chrono::seconds{5};
 constexpr std::uint64_t events_per_credit = 32;
 
 forward_request to_forward(const request_spec& spec, const attempt_key& key, const route& to,
@@ -98,7 +101,8 @@
     r.owner = std::move(*found);
     r.attempt = r.attempt.next();
     r.state = phase::forwarded;
-    arm_timer(id, r, r.spec.start_by + r.spec.run_timeout + run_timeout_margin);
+    r.ends_at = r.spec.start_by + r.spec.run_timeout + run_timeout_margin;
+    arm_attempt_timer(id, r, at);
     out.log(log_event{"request_forwarded"}
                 .add("request", to_string(id))
                 .add("attempt", r.attempt.value())
@@ -254,7 +258,7 @@
         return;
     }
     r.state = r.begun ? phase::answering : phase::forwarded;
-    arm_timer(it->first, r, r.spec.start_by + r.spec.run_timeout + run_timeout_margin);
+    arm_attempt_timer(it->first, r, at);
     if (is_booking) {
         return;
     }
@@ -262,6 +266,12 @@
              resume_request{it->first, r.spec.organisation, r.owner.target, r.delivered});
 }
 
+void entry_requests::arm_attempt_timer(const request_id& id, pending_request& r, const moment& at)
+{
+    const bool is_booking = !r.spec.key.empty();
+    arm_timer(id, r, is_booking ? std::min(at.now + booking_query_interval, r.ends_at) : r.ends_at);
+}
+
 void entry_requests::query_status(const request_id& id, pending_request& r, const moment& at,
                                   outbox& out)
 {
@@ -420,7 +430,13 @@
 void entry_requests::expire(const request_id& id, const moment& at, outbox& out)
 {
     auto& r = requests_.at(id);
-    if (r.caller_disconnected) {
+    const bool is_booking = !r.spec.key.empty();
+    if (is_booking && r.state == phase::forwarded && at.now < r.ends_at) {
+        query_status(id, r, at, out);
+        return;
+    }
+    const bool is_unanswered_booking = is_booking && r.state == phase::querying;
+    if (r.caller_disconnected && !is_unanswered_booking) {
         cancel(id, r.spec.organisation, out);
         return;
     }
--- a/tests/core/entry_requests_test.cpp
+++ b/tests/core/entry_requests_test.cpp
@@ -48,6 +48,18 @@
         return found;
     }
 
+    /// Returns the number of messages of a type that were sent since the last call.
+    template <class Message>
+    int sent()
+    {
+        int count = 0;
+        for (const auto& effect : out.take()) {
+            const auto* it = std::get_if<send_peer>(&effect);
+            count += it != nullptr && std::holds_alternative<Message>(it->envelope.body) ? 1 : 0;
+        }
+        return count;
+    }
+
     std::optional<route> next_route(const std::vector<target_id>& tried) const
     {
         if (tried.size() >= owners.size()) {
@@ -97,6 +109,45 @@
     EXPECT_EQ(ended(), outcome::complete);
 }
 
+// An owner that has just restarted does not know the entry router yet, so its answer is lost
+// without a lost link. The entry router waited for it until the run's timeout, also while it was
+// stopping.
+TEST_F(entry_requests_test, lost_answer_of_a_booking_is_noticed_by_a_query)
+{
+    spec.key = booking_key{"k"};
+    spec.repeat = repeatability::non_idempotent;
+    spec.start_by = at.now + std::chrono::seconds{30};
+    const auto id = start();
+    out.take();
+    at.now += std::chrono::seconds{5};
+    requests.tick(at, out);
+    EXPECT_EQ(sent<status_query>(), 1);
+    requests.on_status(from("a"), {key(id, 1), attempt_state::running, outcome::unknown}, at, out);
+    at.now += std::chrono::seconds{5};
+    requests.tick(at, out);
+    EXPECT_EQ(sent<status_query>(), 1);
+    requests.on_status(from("a"), {key(id, 1), attempt_state::never_seen, outcome::unknown}, at,
+                       out);
+    EXPECT_FALSE(ended().has_value()); // Asked again: the ledger knows the result.
+    requests.on_end(from("b"), {key(id, 2), outcome::complete, {}, "", {}}, at, out);
+    EXPECT_EQ(ended(), outcome::complete);
+}
+
+TEST_F(entry_requests_test, booking_of_a_caller_that_left_is_queried_and_not_cancelled)
+{
+    spec.key = booking_key{"k"};
+    start();
+    requests.on_caller_closed(exchange_number{1}, {}, at, out);
+    out.take();
+    at.now += std::chrono::seconds{5};
+    requests.tick(at, out);
+    EXPECT_EQ(sent<cancel_request>(), 0);
+    at.now += std::chrono::seconds{2};
+    requests.tick(at, out); // The owner does not answer the query.
+    EXPECT_EQ(sent<cancel_request>(), 0);
+    EXPECT_FALSE(requests.next_timer().has_value());
+}
+
 TEST_F(entry_requests_test, request_refused_by_every_owner_ends_as_not_run)
 {
     const auto id = start();
