--- a/include/endivelatch/traffic/traffic_router.hpp
+++ b/include/endivelatch/traffic/traffic_router.hpp
@@ -50,6 +50,9 @@
     /// Returns the metrics of this router.
     counters& metrics() { return metrics_; }
 
+    /// Sets the gauges of the work estimates of all pools.
+    void update_work_gauges();
+
     /// Maximum attempts per request, including those that targets reported as not run.
     static constexpr std::uint32_t max_sends = 4;
     /// Fraction of the retry budget that is used. Routers count in slots of one second, so a window
@@ -65,6 +68,8 @@
     static constexpr int silent_after_objectives = 6;
     /// Maximum size in bytes of a plain answer's body that is buffered until complete.
     static constexpr std::size_t max_buffered_bytes = 262'144;
+    /// Maximum size in bytes of one event of a resumable stream, which is buffered until complete.
+    static constexpr std::size_t max_event_bytes = 262'144;
     /// Maximum wait of a request that arrives before configuration and targets are loaded. Loading
     /// takes a few ms while the store is available, less than a retry by the caller.
     static constexpr duration early_request_wait{150'000};
--- a/tests/traffic/traffic_router_test.cpp
+++ b/tests/traffic/traffic_router_test.cpp
@@ -97,6 +97,20 @@
     EXPECT_FALSE(router.next_timer());
 }
 
+TEST_F(router_fixture, the_service_time_is_estimated_from_answers_and_shown)
+{
+    for (int n = 0; n < 50; ++n) {
+        arrive("unsafe");
+        const auto key = started();
+        clock.advance(milliseconds{30});
+        dispatch(answer_begun{key, success()});
+        dispatch(answer_bytes{key, "body"});
+        dispatch(answer_finished{key});
+    }
+    router.update_work_gauges();
+    EXPECT_EQ(router.metrics().value("service_time_us", "pool=\"pool\""), 30'000);
+}
+
 TEST_F(router_fixture, an_unsafe_request_is_sent_again_only_when_it_was_not_run)
 {
     arrive("unsafe");
@@ -264,6 +278,21 @@
     ASSERT_NE(find<start_attempt>(), nullptr);
 }
 
+// A target may send bytes without ever ending an event.
+TEST_F(router_fixture, a_stream_with_an_endless_event_is_resumed_at_another_target)
+{
+    arrive("resumable");
+    const auto first = started();
+    dispatch(answer_begun{first, success()});
+    dispatch(answer_bytes{first, "id: 1\ndata: a\n\n"});
+    dispatch(answer_bytes{first, std::string(traffic_router::max_event_bytes, 'x')});
+    EXPECT_EQ(find<cancel_attempt>(), nullptr);
+    dispatch(answer_bytes{first, "x"});
+    EXPECT_NE(find<cancel_attempt>(), nullptr);
+    ASSERT_NE(find<start_attempt>(), nullptr);
+    EXPECT_EQ(find<start_attempt>()->parameters.resume_after, 1U);
+}
+
 TEST_F(router_fixture, a_disconnected_caller_cancels_its_attempt)
 {
     const auto number = arrive("stream");
