Drop the preferred targets and the spread of the bound; slots of others count half

Spilling over to four preferred targets and a lower bound made routers read prompts again at more targets.

Slots that other routers occupy at a plain service count half.

--- a/include/endivelatch/traffic/target_choice.hpp
+++ b/include/endivelatch/traffic/target_choice.hpp
@@ -54,10 +54,9 @@
 
 /// Delay of the first token, in ms, per request that runs on the engine.
 inline constexpr double engine_ms_per_request = 1.5;
-/// Targets in the rendezvous order of a prompt that are considered first. Requests that spill over
-/// from a home then share the next targets, and with them their caches. Routers that choose among
-/// all targets by the same old reports would all spill over to the least loaded one.
-inline constexpr std::size_t preferred_targets = 4;
+/// Weight of a slot that other routers occupy at a plain service, relative to one of the router's
+/// own.
+inline constexpr double others_slot_weight = 0.5;
 /// Weight of the router's own count in the estimate of the mean load, in load reports.
 inline constexpr double own_count_weight = 1;
 /// Cost of a target in another failure domain, in ms: round trip and transfer of the body.
@@ -66,12 +65,15 @@
 inline constexpr double service_queue_share = 1.0;
 /// Requests that each target may hold above the load bound, so that small pools remain usable.
 inline constexpr double load_allowance = 2;
-/// Share of the load bound that is used with a new load report, and the most by which it is reduced
-/// with a report that is `stale_report_age` old or without one.
+/// Share of the load bound that is used while the target's load report is at most
+/// `fresh_report_age` old, and from `stale_report_age` on or without a report. The share decreases
+/// because many routers with the same old report would overload the target together.
 inline constexpr double fresh_bound_share = 0.9;
-inline constexpr double bound_share_spread = 0.5;
+inline constexpr double stale_bound_share = 0.7;
+/// Median age of load reports in a fleet of eight routers.
+inline constexpr duration fresh_report_age{400'000};
 /// Requests last about a second, so older reports no longer reflect the load.
-inline constexpr duration stale_report_age{400'000};
+inline constexpr duration stale_report_age{1'400'000};
 
 /// Minimum number of shared tokens missing from a target's cache for which a fetch from another
 /// target is worthwhile.
--- a/src/traffic/target_choice.cpp
+++ b/src/traffic/target_choice.cpp
@@ -107,27 +107,28 @@
                  it.in_flight * engine_ms_per_request + domain_cost(query, it);
 }
 
-/// Estimates the wait for a slot, plus a small cost for each slot that this router occupies. Loads
-/// of other routers count only where requests wait: below that, their differences change within a
-/// service time, and routers that followed the same report would all choose the same target.
+/// Estimates the wait for a slot, plus a small cost for each occupied slot. Slots that other
+/// routers occupy count less: their number changes within a service time, and routers that followed
+/// the same report would all choose the same target.
 void estimate_service_cost(const choice_query& query, candidate& it)
 {
     const double slots = std::max(it.target->registration().slots, 1U);
+    const double own = it.target->own_in_flight();
     const auto waiting = std::max(0.0, it.in_flight + 1 - slots);
-    it.cost_ms = (waiting + it.target->own_in_flight()) * query.work.service_time_ms() / slots +
-                 domain_cost(query, it);
+    const auto occupied = own + others_slot_weight * (it.in_flight - own);
+    it.cost_ms =
+        (waiting + occupied) * query.work.service_time_ms() / slots + domain_cost(query, it);
 }
 
-/// Returns the usable share of the load bound. It decreases with the age of the load report, by an
-/// amount that differs between requests: with one threshold, all routers would send to a target
-/// until a report above it has reached them, and then all stop.
-double bound_share(const choice_query& query, const target_state& target, time_point now)
+/// Returns the usable share of the load bound, which decreases with the age of the load report.
+double bound_share(const target_state& target, time_point now)
 {
     const auto age = target.report_age(now).value_or(stale_report_age);
-    const auto staleness = std::min(
-        std::chrono::duration<double>{age} / std::chrono::duration<double>{stale_report_age}, 1.0);
-    const auto fraction = random_source{query.request_hash}.fraction();
-    return fresh_bound_share - bound_share_spread * staleness * fraction;
+    const auto staleness =
+        std::chrono::duration<double>{std::clamp(age, fresh_report_age, stale_report_age) -
+                                      fresh_report_age} /
+        std::chrono::duration<double>{stale_report_age - fresh_report_age};
+    return fresh_bound_share - (fresh_bound_share - stale_bound_share) * staleness;
 }
 
 /// Returns whether the target can accept one more request within its load bound.
@@ -136,8 +137,7 @@
     if (it.target->is_ejected(now) || it.target->is_full(now)) {
         return false;
     }
-    const auto bound =
-        query.load_bound * bound_share(query, *it.target, now) * mean + load_allowance;
+    const auto bound = query.load_bound * bound_share(*it.target, now) * mean + load_allowance;
     if (it.in_flight + 1 > std::max(bound, 1.0)) {
         return false;
     }
@@ -175,17 +175,6 @@
     return total / static_cast<double>(all.size());
 }
 
-/// Moves the targets that come first in the rendezvous order to the front and marks the home.
-/// Returns their number.
-std::size_t move_preferred_first(std::vector<candidate>& all)
-{
-    const auto count = std::min(preferred_targets, all.size());
-    std::partial_sort(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(count), all.end(),
-                      [](const auto& a, const auto& b) { return a.rank > b.rank; });
-    all.front().is_home = true;
-    return count;
-}
-
 /// Returns the target to which this router sent the most of the prompt's shared parts, if it caches
 /// over `min_fetch_tokens` tokens more than the chosen target.
 const target_state* find_cache_source(const target_table& table, const choice_query& query,
@@ -277,14 +266,13 @@
     }
     auto all = estimate_load(query, targets, now);
     const auto mean = mean_in_flight(all);
-    const auto preferred = query.prompt != nullptr ? move_preferred_first(all) : all.size();
+    const auto home = std::max_element(
+        all.begin(), all.end(), [](const auto& a, const auto& b) { return a.rank < b.rank; });
+    home->is_home = true;
+
     const candidate* best = nullptr;
     const candidate* fallback = nullptr; ///< Above its bound or ejected, but not full.
-    for (std::size_t n = 0; n < all.size(); ++n) {
-        auto& it = all[n];
-        if (n == preferred && best != nullptr && is_on_time(query, *best)) {
-            break;
-        }
+    for (auto& it : all) {
         if (query.tried != nullptr && query.tried->contains(it.target->registration().id)) {
             continue;
         }
