Do not take a newer copy without changes for a stalled watch

While a fleet starts, registrations of routers increase the store's revision, so copies of others are newer with the same objects. A watcher that read one took its own watch for stalled and the store for lost; while it is lost, whole copies of any size are read from others. Since routers hold their first watch until they know the members, this came seconds later, when the test wrote its configuration.

Change: a watch counts as stalled only if the copy of another router has other objects, and not within the time that it has to deliver a change.

--- a/include/endivelatch/entry/mirror_client.hpp
+++ b/include/endivelatch/entry/mirror_client.hpp
@@ -9,6 +9,7 @@
 #include "endivelatch/net/timer.hpp"
 
 #include <algorithm>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
@@ -73,8 +74,7 @@
         newer_copy_peer_ = peer;
         newer_copy_revision_ = revision;
         if (!peer_timer_.is_active()) {
-            peer_timer_.start(kind_ == object_kind::targets ? targets_peer_delay
-                                                            : configuration_peer_delay);
+            peer_timer_.start(peer_delay());
         }
     }
 
@@ -138,7 +138,10 @@
         for (auto& effect : effects) {
             std::visit(overloaded{[this](list_objects& e) { list(e); },
                                   [this](watch_objects& e) { watch(e); },
-                                  [this](mirror_updated&) { callbacks_.on_updated(); }},
+                                  [this](mirror_updated&) {
+                                      ++updates_;
+                                      callbacks_.on_updated();
+                                  }},
                        effect);
         }
         if (const auto next = mirror_.next_timer()) {
@@ -234,9 +237,16 @@
         return true;
     }
 
+    /// Returns the time that a watch has to deliver a change that a peer already holds.
+    duration peer_delay() const
+    {
+        return kind_ == object_kind::targets ? targets_peer_delay : configuration_peer_delay;
+    }
+
     void watch_store(const watch_objects& e)
     {
         watches_store_ = true;
+        watch_started_at_ = now();
         send(Protocol::watch_call(kind_, e.after, e.wait), e.wait + watch_timeout_margin,
              [this](const std::string& body) {
                  return update_mirror(Protocol::read_changes(body));
@@ -330,14 +340,14 @@
         const bool was_connected = mirror_.is_connected();
         const copy_query query{kind_, mirror_.revision(), false, mirror_.is_exact(), was_connected};
         calls_->call({peer, "GET", write_copy_query(query), {}, peer_wait + watch_timeout_margin},
-                     [this, peer, query](call_outcome&& outcome) {
+                     [this, peer, since = query.newer_than, was_connected](call_outcome&& outcome) {
                          is_querying_peer_ = false;
-                         handle_peer_answer(peer, outcome, query);
+                         handle_peer_answer(peer, outcome, since, was_connected);
                      });
     }
 
-    void handle_peer_answer(const endpoint& peer, const call_outcome& outcome,
-                            const copy_query& query)
+    void handle_peer_answer(const endpoint& peer, const call_outcome& outcome, store_revision since,
+                            bool was_connected)
     {
         const auto* reply = std::get_if<call_reply>(&outcome);
         if (reply != nullptr && reply->status == copy_answer::nothing_newer) {
@@ -349,15 +359,15 @@
             read_from_store();
             return;
         }
-        const auto previous = mirror_.revision();
-        if (reply == nullptr || !apply_copy(*reply, query.newer_than)) {
+        const auto previous_updates = updates_;
+        if (reply == nullptr || !apply_copy(*reply, since)) {
             log("copy_not_read", peer.address);
             peer_timer_.start(peer_retry_delay);
             return;
         }
         log("copy_read", peer.address);
-        const bool was_connected = query.small_only;
-        if (was_connected && mirror_.revision() > previous) {
+        // A copy may be newer only by changes of other kinds, which a watch does not report.
+        if (was_connected && updates_ > previous_updates) {
             restart_watch();
             return;
         }
@@ -382,12 +392,16 @@
     }
 
     /// Cancels the watch, which has not delivered a change that a peer already holds and may have
-    /// stalled.
+    /// stalled, unless it has just begun.
     void restart_watch()
     {
         if (!watches_store_ && mirror_.is_connected()) {
             return; // The followed watcher lags behind, not the store.
         }
+        if (mirror_.is_connected() && call_ && now() - watch_started_at_ < peer_delay()) {
+            peer_timer_.start(peer_delay());
+            return;
+        }
         if (mirror_.is_connected() && call_) {
             calls_->cancel(*call_);
             call_.reset();
@@ -439,6 +453,8 @@
     store_revision newer_copy_revision_;
     bool is_querying_peer_ = false;
     bool watches_store_ = false;
+    time_point watch_started_at_{};
+    std::uint64_t updates_ = 0; ///< Number of changes of the copy's objects.
     bool has_logged_loss_ = false;
     timer timer_;
     timer peer_timer_;
--- a/tests/serve/mirror_client_test.cpp
+++ b/tests/serve/mirror_client_test.cpp
@@ -15,15 +15,16 @@
 
 using std::chrono::milliseconds;
 
-/// A router that responds to every request for its copy with a fixed status after a delay.
-class fixed_status_router {
+/// A router that responds to every request for its copy with a fixed answer after a delay.
+class scripted_router {
 public:
-    fixed_status_router(event_loop& loop, int status, duration delay)
+    scripted_router(event_loop& loop, copy_answer answer, duration delay)
         : server_{loop,
-                  {[this, status, delay](exchange_number id, request_head&&, std::string&&) {
+                  {[this, answer, delay](exchange_number id, request_head&&, std::string&&) {
                        ++request_count_;
-                       delays_.after(delay,
-                                     [this, id, status] { server_.respond(id, status, {}, {}); });
+                       delays_.after(delay, [this, id, answer] {
+                           server_.respond(id, answer.status, {}, answer.body);
+                       });
                    },
                    [](exchange_number) {},
                    {}}},
@@ -53,8 +54,8 @@
 
     event_loop loop;
     standins::store_standin store{loop};
-    fixed_status_router watcher{loop, copy_answer::nothing_newer, milliseconds{50}};
-    fixed_status_router peer{loop, copy_answer::too_large, duration{}};
+    scripted_router watcher{loop, {copy_answer::nothing_newer, {}}, milliseconds{50}};
+    scripted_router peer{loop, {copy_answer::too_large, {}}, duration{}};
     call_client calls{loop};
     mirror_client<platform::protocol> client{
         loop,
@@ -77,5 +78,68 @@
     EXPECT_GT(peer.request_count(), 0);
 }
 
+/// A mirror client that watches the store itself, and a peer with a copy.
+struct watching_client : testing::Test {
+    watching_client()
+    {
+        store.put("config", "main", {{"Version", 1}});
+        client.start();
+        run_until(loop, [&] { return store.pending_watches() == 1; });
+    }
+
+    /// Returns a whole copy with the client's objects, or with other ones, at a later revision.
+    copy_answer newer_copy(bool has_changes) const
+    {
+        object_page page;
+        page.revision = store_revision{client.mirror().revision().value() + 1};
+        page.objects.push_back(client.mirror().objects().begin()->second);
+        if (has_changes) {
+            page.objects.front().revision = page.revision;
+        }
+        return {copy_answer::whole, platform::protocol::write_page(page)};
+    }
+
+    /// Announces the peer's copy and waits until the client has read it.
+    void announce(const scripted_router& peer)
+    {
+        const auto revision = store_revision{client.mirror().revision().value() + 1};
+        client.on_newer_copy(peer.address(), revision);
+        run_until(loop, [&] { return client.mirror().revision() == revision; });
+    }
+
+    event_loop loop;
+    standins::store_standin store{loop};
+    call_client calls{loop};
+    int losses = 0; ///< Times that the store was regarded as lost.
+    mirror_client<platform::protocol> client{
+        loop,
+        calls,
+        object_kind::configuration,
+        store.address(),
+        mirror_settings{},
+        1,
+        {[] {}, [] { return std::vector<endpoint>{}; }, [] { return std::vector<endpoint>{}; },
+         [] { return false; },
+         [this](log_event&& it) { losses += it.name() == "store_lost" ? 1 : 0; }}};
+};
+
+// Each change of another kind increases the store's revision, as registrations of routers do at the
+// start of a fleet. The watch does not report it, so it has not stalled. While the store was
+// regarded as lost, routers copied large configurations from each other.
+TEST_F(watching_client, keeps_its_watch_if_a_newer_copy_has_the_same_objects)
+{
+    const scripted_router peer{loop, newer_copy(false), duration{}};
+    announce(peer);
+    EXPECT_EQ(losses, 0);
+    EXPECT_EQ(store.pending_watches(), 1U);
+}
+
+TEST_F(watching_client, restarts_a_watch_that_has_not_reported_the_change_of_a_newer_copy)
+{
+    const scripted_router peer{loop, newer_copy(true), duration{}};
+    announce(peer);
+    EXPECT_EQ(losses, 1);
+}
+
 } // namespace
 } // namespace endivelatch::serve
