--- a/tests/serve/mirror_client_test.cpp
+++ b/tests/serve/mirror_client_test.cpp
@@ -18,7 +18,7 @@
 /// A router that responds to every request for its copy with a fixed answer after a delay.
 class scripted_router {
 public:
-    scripted_router(event_loop& loop, copy_answer answer, duration delay)
+    scripted_router(event_loop& loop, const copy_answer& answer, duration delay)
         : server_{loop,
                   {[this, answer, delay](exchange_number id, request_head&&, std::string&&) {
                        ++request_count_;
