Share failures of targets between routers; agree on the place of a lost home

Sources of a fetch were often engines that had just joined and had nothing cached. With 295 routers each one loses requests of its own at a dark target.

Change: a prompt of a failed or full home goes to the next available target of its rendezvous order, the acting home, if it is in time there. Between half and 0.8 of the objective caches count before cost. A target is a source of cached parts only if it joined 3 s before. Routers share the failures that they see, with the reporter, in their gossip; a target is left out if two other routers failed and it has not reported a load to any router since. After 2 s a few requests of the fleet try it again, more as time passes; one more failure renews the suspicion. At most half of a pool is left out. The line target_suspected and two metrics show it.

--- a/include/endivelatch/entry/entry_process_life.hpp
+++ b/include/endivelatch/entry/entry_process_life.hpp
@@ -97,6 +97,9 @@
               [this](std::vector<received_load>&& loads) {
                   deliver(loads_received{std::move(loads)});
               },
+              [this](std::vector<received_failure>&& failures) {
+                  deliver(failures_received{std::move(failures)});
+              },
               [this](duration delay) { on_pause(delay); },
               [this](log_event&& e) { write(std::move(e)); }}},
       router_timer_{loop, [this] { deliver(timer_due{}); }}, housekeeping_{loop,
--- a/include/endivelatch/entry/fleet_view.hpp
+++ b/include/endivelatch/entry/fleet_view.hpp
@@ -22,7 +22,10 @@
 /// Returns how many load reports can be added to a gossip packet of the given encoded size.
 std::size_t load_report_capacity(std::size_t packet_size);
 
-/// Interval between packets that carry only load reports, in addition to the packets of the
+/// Returns how many failure reports can be added to a gossip packet of the given encoded size.
+std::size_t failure_report_capacity(std::size_t packet_size);
+
+/// Interval between packets that carry only loads and failures, in addition to the packets of the
 /// membership protocol, and number of receivers of each. In fleets of some hundred routers a report
 /// reaches half of them within half a second.
 inline constexpr duration load_packet_interval{200'000};
@@ -38,12 +41,14 @@
     std::function<void(object_kind, const member&, store_revision)> on_newer_copy;
     /// Other routers reported loads of targets that are newer than the known ones.
     std::function<void(std::vector<received_load>&&)> on_loads;
+    /// Other routers reported failures of targets that are newer than the known ones.
+    std::function<void(std::vector<received_failure>&&)> on_failures;
     std::function<void(duration)> on_pause; ///< The process was not scheduled for this time.
     std::function<void(log_event&&)> on_log;
 };
 
 /// Tracks the other entry routers: whether they are live and ready, which copies they hold, and the
-/// loads of targets that they report. Runs the membership protocol over UDP.
+/// loads and failures of targets that they report. Runs the membership protocol over UDP.
 class fleet_view {
 public:
     fleet_view(event_loop& loop, const entry_settings& settings, incarnation run,
@@ -67,6 +72,9 @@
     /// Announces a load that a target has just reported.
     void publish_load(target_key target, std::uint32_t in_flight);
 
+    /// Announces that a target has failed to answer this router.
+    void publish_failure(target_key target);
+
     /// Announces that this router stops.
     void leave();
 
@@ -99,6 +107,7 @@
 private:
     void receive(const endpoint& from, std::string_view bytes);
     void receive_loads(const std::vector<load_report>& loads);
+    void receive_failures(const std::vector<failure_report>& failures);
     void send_load_packets();
     void tick();
     void apply(membership_effects&& effects);
@@ -120,12 +129,13 @@
     std::vector<endpoint> seeds_;
     timer timer_;
     timer load_packet_timer_;
-    std::uint64_t last_load_packet_ = 0; ///< Number of the last packet with only load reports.
+    std::uint64_t last_load_packet_ = 0; ///< Number of the last packet of this kind.
     incarnation run_;
     time_point started_at_{};
     bool is_looking_up_ = true; ///< The addresses of other routers are not known yet.
     std::map<router_id, bool> ready_;
     load_table loads_;
+    failure_table failures_;
     random_source random_;
     std::uint64_t bytes_sent_ = 0;
 };
--- a/include/endivelatch/membership/gossip.hpp
+++ b/include/endivelatch/membership/gossip.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "endivelatch/base/ids.hpp"
+#include "endivelatch/membership/failure_table.hpp"
 #include "endivelatch/membership/load_table.hpp"
 #include "endivelatch/membership/member.hpp"
 #include "endivelatch/membership/summary.hpp"
@@ -33,7 +34,7 @@
     indirect_ack = 4, ///< Response to a `ping_request`: `subject` is alive.
     page_request = 5, ///< Requests the members with ids greater than `cursor`.
     page = 6,         ///< Response to a `page_request`; an empty `cursor` marks the last page.
-    loads = 7,        ///< Carries only target loads; ignored by the membership.
+    loads = 7,        ///< Carries only loads and failures of targets; ignored by the membership.
 };
 
 /// Highest configuration version known to a router, and a digest of its object versions.
@@ -44,7 +45,7 @@
     friend bool operator==(const config_summary&, const config_summary&) = default;
 };
 
-/// One gossip packet. Every kind can carry updates, summaries and loads.
+/// One gossip packet. Every kind can carry updates, summaries, loads and failures.
 struct gossip_packet {
     gossip_kind kind = gossip_kind::ping;
     router_id from;
@@ -60,6 +61,7 @@
     std::vector<member_update> members;
     std::vector<summary_entry> summaries;
     std::vector<load_report> loads;
+    std::vector<failure_report> failures;
 
     friend bool operator==(const gossip_packet&, const gossip_packet&) = default;
 };
--- a/include/endivelatch/membership/packet_size.hpp
+++ b/include/endivelatch/membership/packet_size.hpp
@@ -7,7 +7,8 @@
 /// Upper bounds of encoded sizes in bytes, used to fill packets without encoding them.
 namespace endivelatch {
 
-/// Returns the maximum size of a packet without its updates, summaries and loads.
+/// Returns the maximum size of a packet without its updates, summaries, loads and
+/// failures.
 std::size_t packet_base_size(const gossip_packet& packet);
 
 /// Returns the maximum size of one update.
@@ -22,4 +23,7 @@
 /// Maximum size of a load report in bytes: target, requests and age with their field headers.
 inline constexpr std::size_t load_report_size = 20;
 
+/// Maximum size of a failure report in bytes: target, reporter and age with their field headers.
+inline constexpr std::size_t failure_report_size = 20;
+
 } // namespace endivelatch
--- a/include/endivelatch/traffic/target_choice.hpp
+++ b/include/endivelatch/traffic/target_choice.hpp
@@ -75,13 +75,20 @@
 /// Requests last about a second, so older reports no longer reflect the load.
 inline constexpr duration stale_report_age{1'400'000};
 
+/// Largest share of a pool's targets that may be left out because other routers suspect them.
+inline constexpr double max_suspected_share = 0.5;
+
 /// Minimum number of shared tokens missing from a target's cache for which a fetch from another
 /// target is worthwhile.
 inline constexpr std::uint32_t min_fetch_tokens = 500;
+/// Time after which a target that has joined has received most of the prompts whose home it is.
+inline constexpr duration warm_up_time{3'000'000};
 
 /// A target counts as on time if its first event is expected within this share of the objective.
 /// Half leaves a margin for the error of the estimate.
 inline constexpr double on_time_share = 0.5;
+/// Share of the objective up to which an answer is probably still in time.
+inline constexpr double tight_share = 0.8;
 /// A request is refused if its expected wait exceeds a share of its objective. The maximum applies
 /// to priority 0; each less urgent priority reduces it by one step down to the minimum, so that
 /// under overload the less urgent requests are refused first.
--- a/include/endivelatch/traffic/target_state.hpp
+++ b/include/endivelatch/traffic/target_state.hpp
@@ -2,6 +2,7 @@
 
 #include "endivelatch/base/ids.hpp"
 #include "endivelatch/base/time.hpp"
+#include "endivelatch/membership/failure_table.hpp"
 #include "endivelatch/membership/load_table.hpp"
 #include "endivelatch/membership/member.hpp"
 #include "endivelatch/traffic/request.hpp"
@@ -90,6 +91,16 @@
     /// Returns whether the target is ejected because of recent failures.
     bool is_ejected(time_point now) const { return now < ejected_until_; }
 
+    /// Records a failure that another router saw at the target.
+    void record_remote_failure(router_key reporter, time_point failed_at);
+
+    /// Returns the share of requests to keep away from the target because several other routers
+    /// failed to get an answer and it has not reported its load to any router since: 1 for
+    /// `suspicion_time` after the last failure, then decreasing to 0 within `trial_time`, so that a
+    /// few requests of the whole fleet try the target again. The failures of one router are not
+    /// enough, since it may be cut off itself.
+    double suspicion(time_point now) const;
+
     /// Returns whether the target refused a request within `full_duration`.
     bool is_full(time_point now) const { return now < full_until_; }
 
@@ -138,6 +149,16 @@
     static constexpr duration max_ejection_time{8'000'000};
     /// Age from which a measured wait is ignored.
     static constexpr duration wait_lifetime{1'000'000};
+    /// Number of other routers whose failures make a target suspected.
+    static constexpr std::size_t min_remote_reporters = 2;
+    /// Time after the last failure within which no request tries the target again.
+    static constexpr duration suspicion_time{2'000'000};
+    /// Time from the first trials until all requests may go to the target again. A trial that fails
+    /// is known to nearly all routers within 1.5 s.
+    static constexpr duration trial_time{4'000'000};
+    /// A load report outdates the failures that are older than it by this time. Times of reports
+    /// from other routers are inaccurate by their transit times.
+    static constexpr duration report_time_error{100'000};
     /// Age from which a failure is ignored.
     static constexpr duration failure_lifetime{5'000'000};
     /// Time after which an unused prompt part is assumed to be evicted from the cache.
@@ -152,6 +173,12 @@
         bool has_failed = false;
     };
 
+    /// Last failure that another router saw.
+    struct remote_failure {
+        router_key reporter;
+        time_point failed_at{};
+    };
+
     /// Measured time from sending to the first byte, without the prefill.
     struct measured_wait {
         time_point at{};
@@ -182,6 +209,7 @@
     duration next_ejection_time_{base_ejection_time};
     std::array<outcome_entry, outcome_history_size> outcomes_{};
     std::size_t outcome_index_ = 0;
+    std::vector<remote_failure> remote_failures_; ///< One for each of the last reporters.
     /// Time of last use by part id.
     std::unordered_map<std::uint64_t, time_point> parts_last_used_;
 };
--- a/include/endivelatch/traffic/traffic_event.hpp
+++ b/include/endivelatch/traffic/traffic_event.hpp
@@ -95,6 +95,18 @@
     std::vector<received_load> loads;
 };
 
+/// Failure of a target that another router saw.
+struct received_failure {
+    target_key target;
+    router_key reporter;
+    time_point failed_at{};
+};
+
+/// Failure reports were received from other routers.
+struct failures_received {
+    std::vector<received_failure> failures;
+};
+
 /// The process was asked to stop.
 struct stop_announced {
     time_point exits_at{}; ///< Latest exit time of the process.
@@ -106,7 +118,7 @@
 using traffic_event =
     std::variant<request_arrived, caller_disconnected, attempt_broken, answer_begun, answer_bytes,
                  answer_finished, configuration_changed, targets_changed, fleet_changed,
-                 loads_received, stop_announced, timer_due>;
+                 loads_received, failures_received, stop_announced, timer_due>;
 
 /// Sends the request to a target.
 struct start_attempt {
@@ -167,6 +179,11 @@
     std::uint32_t in_flight = 0; ///< Over all routers.
 };
 
+/// Shares a failure of a target with other routers.
+struct share_failure {
+    target_key target;
+};
+
 /// Writes a line to the log.
 struct write_log {
     log_event event;
@@ -174,7 +191,7 @@
 
 using traffic_effect =
     std::variant<start_attempt, cancel_attempt, skip_answer, begin_answer, send_bytes, end_answer,
-                 abort_answer, refuse_request, share_load, write_log>;
+                 abort_answer, refuse_request, share_load, share_failure, write_log>;
 using traffic_effects = std::vector<traffic_effect>;
 
 } // namespace endivelatch
--- a/include/endivelatch/traffic/traffic_router.hpp
+++ b/include/endivelatch/traffic/traffic_router.hpp
@@ -146,6 +146,7 @@
     void on(targets_changed& e);
     void on(fleet_changed& e);
     void on(const loads_received& e);
+    void on(const failures_received& e);
     void on(stop_announced& e);
     void on(timer_due& e);
 
--- a/src/entry/fleet_view.cpp
+++ b/src/entry/fleet_view.cpp
@@ -62,6 +62,12 @@
     return std::min(available / load_report_size, load_table::max_reports_per_packet);
 }
 
+std::size_t failure_report_capacity(std::size_t packet_size)
+{
+    const auto available = max_gossip_size - std::min(packet_size, max_gossip_size);
+    return std::min(available / failure_report_size, failure_table::max_reports_per_packet);
+}
+
 std::string_view to_string(object_kind kind)
 {
     switch (kind) {
@@ -122,6 +128,11 @@
     loads_.update(target, in_flight, loop_->now());
 }
 
+void fleet_view::publish_failure(target_key target)
+{
+    failures_.update(target, key_of(self_), loop_->now());
+}
+
 void fleet_view::leave()
 {
     apply(membership_.leave(loop_->now()));
@@ -190,6 +201,7 @@
         return;
     }
     receive_loads(value_of(packet).loads);
+    receive_failures(value_of(packet).failures);
     if (value_of(packet).kind == gossip_kind::loads) {
         return;
     }
@@ -210,6 +222,20 @@
     }
 }
 
+void fleet_view::receive_failures(const std::vector<failure_report>& failures)
+{
+    std::vector<received_failure> newer;
+    for (const auto& it : failures) {
+        const auto failed_at = loop_->now() - it.age;
+        if (failures_.update(it.target, it.reporter, failed_at)) {
+            newer.push_back({it.target, it.reporter, failed_at});
+        }
+    }
+    if (!newer.empty()) {
+        callbacks_.on_failures(std::move(newer));
+    }
+}
+
 void fleet_view::send_load_packets()
 {
     load_packet_timer_.start(load_packet_interval);
@@ -222,8 +248,9 @@
     packet.from = self_;
     packet.from_run = run_;
     packet.number = ++last_load_packet_;
-    packet.loads = loads_.newest(load_table::max_reports_per_packet, loop_->now());
-    if (packet.loads.empty()) {
+    packet.failures = failures_.newest(failure_table::max_reports_per_packet, loop_->now());
+    packet.loads = loads_.newest(load_report_capacity(encode(packet).size()), loop_->now());
+    if (packet.loads.empty() && packet.failures.empty()) {
         return;
     }
     const auto bytes = encode(packet);
@@ -256,6 +283,8 @@
 
 void fleet_view::execute(send_packet& e)
 {
+    e.packet.failures =
+        failures_.newest(failure_report_capacity(encode(e.packet).size()), loop_->now());
     e.packet.loads = loads_.newest(load_report_capacity(encode(e.packet).size()), loop_->now());
     const auto bytes = encode(e.packet);
     bytes_sent_ += bytes.size();
--- a/src/traffic/target_choice.cpp
+++ b/src/traffic/target_choice.cpp
@@ -4,6 +4,7 @@
 #include "endivelatch/routing/rendezvous.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <numeric>
 #include <span>
 #include <vector>
@@ -20,7 +21,10 @@
     std::uint32_t prefill_tokens = 0;
     duration wait{};
     bool is_home = false;
-    std::uint64_t rank = 0; ///< Rendezvous weight.
+    bool is_acting_home = false;   ///< Highest rendezvous weight of the available targets.
+    bool has_failed = false;       ///< Ejected, or suspected by other routers.
+    bool has_shared_parts = false; ///< Probably caches all shared parts of the prompt.
+    std::uint64_t rank = 0;        ///< Rendezvous weight.
 };
 
 /// Returns the parts that may be shared with other requests: all but the last.
@@ -61,6 +65,30 @@
     return (reported + own_count_weight * extrapolated) / (weights + own_count_weight);
 }
 
+/// Returns whether the request keeps away from a target that other routers suspect. The others are
+/// the trials.
+bool avoids(const choice_query& query, const target_state& target, time_point now)
+{
+    constexpr auto range = static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+    const auto suspicion = target.suspicion(now);
+    return suspicion > 0 &&
+           static_cast<double>(mix_bits(query.request_hash ^ target.hash())) / range < suspicion;
+}
+
+/// Marks the targets that other routers suspect, unless they are more than `max_suspected_share` of
+/// all: then it is more likely that the routers were cut off.
+void mark_suspected(const choice_query& query, std::vector<candidate>& all, time_point now)
+{
+    const auto suspected = std::count_if(
+        all.begin(), all.end(), [&](const auto& it) { return it.target->suspicion(now) > 0; });
+    if (static_cast<double>(suspected) > max_suspected_share * static_cast<double>(all.size())) {
+        return;
+    }
+    for (auto& it : all) {
+        it.has_failed = it.has_failed || avoids(query, *it.target, now);
+    }
+}
+
 std::vector<candidate> estimate_load(const choice_query& query,
                                      const std::vector<target_state*>& targets, time_point now)
 {
@@ -73,11 +101,37 @@
         c.target = it;
         c.in_flight = it->own_in_flight() + it->others_in_flight(expected, now);
         c.rank = rendezvous_weight(placement, it->hash());
+        c.has_failed = it->is_ejected(now);
         all.push_back(c);
     }
+    mark_suspected(query, all, now);
     return all;
 }
 
+bool was_tried(const choice_query& query, const candidate& it)
+{
+    return query.tried != nullptr && query.tried->contains(it.target->registration().id);
+}
+
+/// Marks the home of the prompt, and the target that takes its place while it is unavailable.
+void mark_homes(const choice_query& query, std::vector<candidate>& all, time_point now)
+{
+    candidate* home = nullptr;
+    candidate* acting = nullptr;
+    for (auto& it : all) {
+        home = home == nullptr || it.rank > home->rank ? &it : home;
+        const bool is_available =
+            !it.has_failed && !it.target->is_full(now) && !was_tried(query, it);
+        if (is_available && (acting == nullptr || it.rank > acting->rank)) {
+            acting = &it;
+        }
+    }
+    home->is_home = true;
+    if (acting != nullptr) {
+        acting->is_acting_home = true;
+    }
+}
+
 std::uint32_t total_tokens(std::span<const prompt_part> parts)
 {
     return std::accumulate(parts.begin(), parts.end(), 0U,
@@ -95,9 +149,11 @@
 {
     const auto shared = shared_parts(*query.prompt);
     auto cached = it.target->cached_tokens(query.prompt->parts, now);
+    const auto shared_tokens = total_tokens(shared);
     if (it.is_home) {
-        cached = std::max(cached, total_tokens(shared));
+        cached = std::max(cached, shared_tokens);
     }
+    it.has_shared_parts = cached >= shared_tokens;
     it.prefill_tokens = query.prompt->tokens - std::min(cached, query.prompt->tokens);
     it.wait = it.target->expected_wait(query.priority, now);
     const auto wait_ms = std::chrono::duration<double, std::milli>{it.wait}.count();
@@ -134,7 +190,7 @@
 /// Returns whether the target can accept one more request within its load bound.
 bool is_below_bound(const choice_query& query, const candidate& it, double mean, time_point now)
 {
-    if (it.target->is_ejected(now) || it.target->is_full(now)) {
+    if (it.has_failed || it.target->is_full(now)) {
         return false;
     }
     const auto bound = query.load_bound * bound_share(*it.target, now) * mean + load_allowance;
@@ -146,24 +202,43 @@
            it.in_flight < slots * (1 + service_queue_share);
 }
 
-/// Returns whether the first event is expected within `on_time_share` of the objective.
-bool is_on_time(const choice_query& query, const candidate& it)
+/// Expected time of the first event, relative to the objective.
+enum class timeliness {
+    late,    ///< Probably after the objective.
+    tight,   ///< Within `tight_share` of the objective.
+    on_time, ///< Within `on_time_share` of the objective.
+};
+
+timeliness expected_timeliness(const choice_query& query, const candidate& it)
 {
     const auto objective = std::chrono::duration<double, std::milli>{query.objective}.count();
-    return query.prompt != nullptr && it.cost_ms < objective * on_time_share;
+    if (query.prompt == nullptr || it.cost_ms >= objective * tight_share) {
+        return timeliness::late;
+    }
+    return it.cost_ms < objective * on_time_share ? timeliness::on_time : timeliness::tight;
 }
 
-/// Orders targets that are on time by the tokens to prefill, since an earlier answer has no benefit
-/// and prefill delays other requests. Orders other targets by cost. Ties are resolved by the
-/// rendezvous weight.
+/// Orders targets that are in time by the tokens to prefill, since an earlier answer has no benefit
+/// and prefill delays other requests. If all have to prefill shared parts, the acting home is
+/// first, so that all routers send the prompts of a lost home to the same target. Orders other
+/// targets by cost. Ties are resolved by the rendezvous weight.
 bool is_better(const choice_query& query, const candidate& a, const candidate& b)
 {
-    const bool a_is_on_time = is_on_time(query, a);
-    if (a_is_on_time != is_on_time(query, b)) {
-        return a_is_on_time;
+    const auto a_time = expected_timeliness(query, a);
+    const auto b_time = expected_timeliness(query, b);
+    if (a_time != b_time) {
+        return a_time > b_time;
     }
-    if (a_is_on_time && a.prefill_tokens != b.prefill_tokens) {
-        return a.prefill_tokens < b.prefill_tokens;
+    if (a_time != timeliness::late) {
+        if (a.has_shared_parts != b.has_shared_parts) {
+            return a.has_shared_parts;
+        }
+        if (!a.has_shared_parts && a.is_acting_home != b.is_acting_home) {
+            return a.is_acting_home;
+        }
+        if (a.prefill_tokens != b.prefill_tokens) {
+            return a.prefill_tokens < b.prefill_tokens;
+        }
     }
     return a.cost_ms < b.cost_ms || (a.cost_ms == b.cost_ms && a.rank > b.rank);
 }
@@ -185,7 +260,8 @@
     const target_state* source = nullptr;
     for (const auto* it : table.registered(query.pool)) {
         const auto tokens = it->cached_tokens(shared, now);
-        if (tokens > most && it != chosen.target && !it->is_ejected(now)) {
+        if (tokens > most && it != chosen.target && !it->is_ejected(now) &&
+            it->suspicion(now) == 0) {
             most = tokens;
             source = it;
         }
@@ -194,18 +270,21 @@
 }
 
 /// Returns the previous home of the prompt: the target with the highest rendezvous weight other
-/// than the chosen one, including leaving targets. If the chosen target is the home, targets that
-/// did not join before it are excluded, since they have cached no more than it.
+/// than the chosen one, including leaving targets. Targets that joined recently are excluded, as
+/// they have cached little. If the chosen target is the home, targets that did not join well before
+/// it are excluded too, since they have cached no more than it.
 const target_state* find_previous_home(const target_table& table, const choice_query& query,
                                        const candidate& chosen, time_point now)
 {
     const auto placement = placement_hash(query);
+    const auto joined_before = (chosen.is_home ? chosen.target->known_since() : now) - warm_up_time;
     const target_state* source = nullptr;
     std::uint64_t best = 0;
     for (const auto* it : table.registered(query.pool)) {
-        const bool is_older = !chosen.is_home || it->known_since() < chosen.target->known_since();
+        const bool is_warm = it->known_since() <= joined_before;
         const auto weight = rendezvous_weight(placement, it->hash());
-        if (it != chosen.target && is_older && !it->is_ejected(now) && weight > best) {
+        if (it != chosen.target && is_warm && !it->is_ejected(now) && it->suspicion(now) == 0 &&
+            weight > best) {
             best = weight;
             source = it;
         }
@@ -266,14 +345,12 @@
     }
     auto all = estimate_load(query, targets, now);
     const auto mean = mean_in_flight(all);
-    const auto home = std::max_element(
-        all.begin(), all.end(), [](const auto& a, const auto& b) { return a.rank < b.rank; });
-    home->is_home = true;
+    mark_homes(query, all, now);
 
     const candidate* best = nullptr;
     const candidate* fallback = nullptr; ///< Above its bound or ejected, but not full.
     for (auto& it : all) {
-        if (query.tried != nullptr && query.tried->contains(it.target->registration().id)) {
+        if (was_tried(query, it)) {
             continue;
         }
         query.prompt != nullptr ? estimate_engine_cost(query, it, now)
--- a/src/traffic/target_state.cpp
+++ b/src/traffic/target_state.cpp
@@ -119,6 +119,39 @@
     }
 }
 
+void target_state::record_remote_failure(router_key reporter, time_point failed_at)
+{
+    std::erase_if(remote_failures_, [&](const auto& it) {
+        return it.reporter == reporter || failed_at - it.failed_at > suspicion_time + trial_time;
+    });
+    if (remote_failures_.size() >= failure_table::max_reporters) {
+        remote_failures_.erase(std::min_element(
+            remote_failures_.begin(), remote_failures_.end(),
+            [](const auto& a, const auto& b) { return a.failed_at < b.failed_at; }));
+    }
+    remote_failures_.push_back({reporter, failed_at});
+}
+
+double target_state::suspicion(time_point now) const
+{
+    std::size_t reporters = 0;
+    time_point last_failure{};
+    for (const auto& it : remote_failures_) {
+        const bool is_outdated = reported_ && reported_at_ > it.failed_at + report_time_error;
+        if (!is_outdated && now - it.failed_at < suspicion_time + trial_time) {
+            ++reporters;
+            last_failure = std::max(last_failure, it.failed_at);
+        }
+    }
+    if (reporters < min_remote_reporters) {
+        return 0;
+    }
+    const auto trials_since = std::max(now - last_failure - suspicion_time, duration{});
+    const auto share =
+        std::chrono::duration<double>{trials_since} / std::chrono::duration<double>{trial_time};
+    return 1 - share * share; // The square keeps the first trials few.
+}
+
 void target_state::eject(time_point now)
 {
     if (is_ejected(now)) {
--- a/src/traffic/traffic_attempts.cpp
+++ b/src/traffic/traffic_attempts.cpp
@@ -126,6 +126,9 @@
         target->remove_request();
         const bool was_ejected = target->is_ejected(now_);
         target->record_outcome(outcome, now_);
+        if (outcome == attempt_outcome::failed || outcome == attempt_outcome::unreachable) {
+            effects_.emplace_back(share_failure{target->key()});
+        }
         if (target->is_ejected(now_) && !was_ejected) {
             metrics_.add("ejections");
             log(log_event{"target_ejected"}.add("target", it.running->target));
--- a/src/traffic/traffic_router.cpp
+++ b/src/traffic/traffic_router.cpp
@@ -210,6 +210,25 @@
     metrics_.add("loads_heard", e.loads.size());
 }
 
+void traffic_router::on(const failures_received& e)
+{
+    for (const auto& it : e.failures) {
+        auto* target = targets_.find(it.target);
+        if (target == nullptr) {
+            continue;
+        }
+        const bool was_suspected = target->suspicion(now_) > 0;
+        target->record_remote_failure(it.reporter, it.failed_at);
+        if (target->suspicion(now_) > 0 && !was_suspected) {
+            metrics_.add("suspicions");
+            log(log_event{"target_suspected"}
+                    .add("target", target->registration().id)
+                    .add("failure_age_ms", (now_ - it.failed_at).count() / 1'000));
+        }
+    }
+    metrics_.add("failures_heard", e.failures.size());
+}
+
 void traffic_router::on(stop_announced& e)
 {
     stop_ = e;
--- a/src/wire/endivelatch.thrift
+++ b/src/wire/endivelatch.thrift
@@ -194,6 +194,13 @@
   3: i32 age_ms
 }
 
+/** The fields `target` and `reporter` are hashes of the ids. */
+struct failure_item {
+  1: i32 target
+  2: i32 reporter
+  3: i32 age_ms
+}
+
 struct gossip_packet {
   1: i32 kind
   2: string sender
@@ -210,6 +217,7 @@
   13: optional list<summary_group> summaries
   14: optional bool has_whole_list
   15: optional list<load_item> loads
+  16: optional list<failure_item> failures
 }
 
 struct link_hello {
--- a/src/wire/gossip_codec.cpp
+++ b/src/wire/gossip_codec.cpp
@@ -142,21 +142,44 @@
     }
 }
 
+std::int32_t to_age_ms(duration age)
+{
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
+    return static_cast<std::int32_t>(std::clamp<std::int64_t>(ms, 0, max_age_ms));
+}
+
+duration from_age_ms(std::int32_t ms)
+{
+    return std::chrono::milliseconds{checked<std::uint32_t>(ms, 0, max_age_ms)};
+}
+
 thrift_wire::load_item to_struct(const load_report& it)
 {
     thrift_wire::load_item out;
     out.target = to_signed(it.target.value());
     out.in_flight = to_signed(it.in_flight);
-    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(it.age).count();
-    out.age_ms = static_cast<std::int32_t>(std::clamp<std::int64_t>(ms, 0, max_age_ms));
+    out.age_ms = to_age_ms(it.age);
     return out;
 }
 
 load_report from_struct(const thrift_wire::load_item& it)
 {
-    const auto age_ms = checked<std::uint32_t>(it.age_ms, 0, max_age_ms);
-    return {target_key{to_unsigned(it.target)}, to_unsigned(it.in_flight),
-            std::chrono::milliseconds{age_ms}};
+    return {target_key{to_unsigned(it.target)}, to_unsigned(it.in_flight), from_age_ms(it.age_ms)};
+}
+
+thrift_wire::failure_item to_struct(const failure_report& it)
+{
+    thrift_wire::failure_item out;
+    out.target = to_signed(it.target.value());
+    out.reporter = to_signed(it.reporter.value());
+    out.age_ms = to_age_ms(it.age);
+    return out;
+}
+
+failure_report from_struct(const thrift_wire::failure_item& it)
+{
+    return {target_key{to_unsigned(it.target)}, router_key{to_unsigned(it.reporter)},
+            from_age_ms(it.age_ms)};
 }
 
 thrift_wire::gossip_packet to_struct(const gossip_packet& it)
@@ -194,6 +217,10 @@
         out.loads.push_back(to_struct(load));
     }
     out.__isset.loads = !out.loads.empty();
+    for (const auto& failure : it.failures) {
+        out.failures.push_back(to_struct(failure));
+    }
+    out.__isset.failures = !out.failures.empty();
     return out;
 }
 
@@ -222,6 +249,9 @@
     for (const auto& load : it.loads) {
         out.loads.push_back(from_struct(load));
     }
+    for (const auto& failure : it.failures) {
+        out.failures.push_back(from_struct(failure));
+    }
     return out;
 }
 
--- a/tests/traffic/target_choice_test.cpp
+++ b/tests/traffic/target_choice_test.cpp
@@ -138,6 +138,110 @@
     EXPECT_EQ(chosen.fetch_from, former->registration().address);
 }
 
+/// Routers with different loads of their own have to agree on the target that takes the place of a
+/// lost home. Otherwise each of them makes another target prefill the same shared parts.
+TEST_F(choice_fixture, prompts_of_a_lost_home_go_to_the_same_target_at_all_routers)
+{
+    query.prompt = &prompt;
+    auto* home = choose().target;
+    home->record_outcome(attempt_outcome::unreachable, clock.now());
+    auto* replacement = choose().target;
+    ASSERT_NE(replacement, home);
+    replacement->add_request({clock.now(), 0, 0});
+    EXPECT_EQ(choose().target, replacement);
+    EXPECT_FALSE(choose().is_home);
+    replacement->record_outcome(attempt_outcome::unreachable, clock.now());
+    EXPECT_NE(choose().target, replacement);
+}
+
+/// The expected time of a large prompt is above `on_time_share` everywhere. It must not leave its
+/// home for a target that costs a little less but has to prefill the shared parts.
+TEST_F(choice_fixture, a_large_prompt_stays_at_its_home_although_another_target_costs_less)
+{
+    prompt.tokens = 13'500;
+    prompt.parts = {{1, 500}, {2, 1'000}, {3, 12'000}};
+    query.prompt = &prompt;
+    auto* home = choose().target;
+    home->add_request({clock.now(), 0, 2'000}); // 350 ms at home, 338 to 342 ms elsewhere.
+    EXPECT_EQ(choose().target, home);
+    home->add_request({clock.now(), 0, 3'000}); // Above `tight_share`.
+    EXPECT_NE(choose().target, home);
+}
+
+TEST_F(choice_fixture, targets_that_joined_recently_are_no_source_of_cached_parts)
+{
+    query.prompt = &prompt;
+    auto* home = choose().target;
+    home->add_request({clock.now(), 0, 20'000}); // Spills over.
+    auto again = home->registration();
+    again.started = incarnation{5};
+    std::vector<registered_target> all{again};
+    for (int n = 1; n <= target_count; ++n) {
+        if (&target(n) != home) {
+            all.push_back(target(n).registration());
+        }
+    }
+    table.replace(all, clock.now()); // The home restarts with an empty cache.
+    auto& restarted = *table.find(again.id);
+    restarted.add_request({clock.now(), 0, 20'000});
+    const auto spilled_over = choose();
+    ASSERT_NE(spilled_over.target, &restarted);
+    EXPECT_NE(spilled_over.fetch_from, restarted.registration().address);
+    clock.advance(warm_up_time);
+    EXPECT_EQ(choose().fetch_from, restarted.registration().address);
+}
+
+TEST_F(choice_fixture, a_target_that_failed_several_other_routers_is_left_out)
+{
+    query.prompt = &prompt;
+    auto* home = choose().target;
+    home->record_remote_failure(router_key{1}, clock.now());
+    EXPECT_EQ(choose().target, home); // One router may be cut off itself.
+    home->record_remote_failure(router_key{1}, clock.now());
+    EXPECT_EQ(choose().target, home);
+    home->record_remote_failure(router_key{2}, clock.now());
+    EXPECT_NE(choose().target, home);
+    clock.advance(target_state::suspicion_time + target_state::trial_time);
+    EXPECT_EQ(choose().target, home);
+}
+
+TEST_F(choice_fixture, a_suspected_target_is_tried_again_by_few_requests)
+{
+    auto& lost = target(1);
+    lost.record_remote_failure(router_key{1}, clock.now());
+    lost.record_remote_failure(router_key{2}, clock.now());
+    clock.advance(target_state::suspicion_time + target_state::trial_time / 4);
+    EXPECT_NEAR(lost.suspicion(clock.now()), 1 - 1.0 / 16, 1e-9);
+    // The trial fails: its report alone renews the suspicion.
+    lost.record_remote_failure(router_key{3}, clock.now());
+    EXPECT_EQ(lost.suspicion(clock.now()), 1);
+}
+
+TEST_F(choice_fixture, a_load_report_ends_the_suspicion_of_a_target)
+{
+    query.prompt = &prompt;
+    auto* home = choose().target;
+    home->record_remote_failure(router_key{1}, clock.now());
+    home->record_remote_failure(router_key{2}, clock.now());
+    home->update_load(0, clock.now()); // Possibly from before the failures.
+    EXPECT_EQ(home->suspicion(clock.now()), 1);
+    clock.advance(target_state::report_time_error * 2);
+    home->update_load(0, clock.now());
+    EXPECT_EQ(home->suspicion(clock.now()), 0);
+    EXPECT_EQ(choose().target, home);
+}
+
+TEST_F(choice_fixture, suspicions_of_most_targets_are_ignored)
+{
+    query.prompt = &prompt;
+    auto* home = choose().target;
+    for (int n = 1; n <= target_count; ++n) {
+        target(n).record_remote_failure(router_key{1}, clock.now());
+        target(n).record_remote_failure(router_key{2}, clock.now());
+    }
+    EXPECT_EQ(choose().target, home);
+}
+
 TEST_F(choice_fixture, no_target_exceeds_twice_the_mean_load)
 {
     query.prompt = &prompt;
--- a/tests/traffic/traffic_router_test.cpp
+++ b/tests/traffic/traffic_router_test.cpp
@@ -304,6 +304,41 @@
     EXPECT_TRUE(effects.empty());
 }
 
+TEST_F(router_fixture, failures_of_targets_are_shared)
+{
+    arrive("unsafe");
+    const auto id = find<start_attempt>()->parameters.expected_target;
+    dispatch(attempt_broken{started(), attempt_stage::sent, "connection reset"});
+    ASSERT_NE(find<share_failure>(), nullptr);
+    EXPECT_EQ(find<share_failure>()->target, key_of(id));
+}
+
+TEST_F(router_fixture, a_refusal_by_a_full_target_is_no_failure)
+{
+    arrive("unsafe");
+    dispatch(answer_begun{started(), not_run()});
+    EXPECT_EQ(find<share_failure>(), nullptr);
+}
+
+TEST_F(router_fixture, failures_of_other_routers_keep_requests_away_from_a_target)
+{
+    const auto lost = make_target(1);
+    failures_received received;
+    for (std::uint32_t n = 1; n <= 2; ++n) {
+        received.failures.push_back({key_of(lost.id), router_key{n}, clock.now()});
+    }
+    received.failures.push_back({target_key{999}, router_key{1}, clock.now()}); // Not registered.
+    dispatch(std::move(received));
+    const auto* line = find<write_log>();
+    ASSERT_NE(line, nullptr);
+    EXPECT_EQ(line->event.name(), "target_suspected");
+    EXPECT_EQ(line->event.field("target"), lost.id.str());
+    for (int n = 0; n < 20; ++n) {
+        arrive("unsafe");
+        EXPECT_NE(find<start_attempt>()->parameters.expected_target, lost.id);
+    }
+}
+
 TEST_F(router_fixture, a_leaving_target_gets_no_new_requests)
 {
     targets_changed changed;
--- a/tests/traffic/traffic_simulation.hpp
+++ b/tests/traffic/traffic_simulation.hpp
@@ -83,6 +83,7 @@
     void on(abort_answer& e);
     void on(refuse_request& e);
     void on(share_load&) {}
+    void on(share_failure&) {}
     void on(write_log&) {}
 
     void end(exchange_number number, observed_request& it);
--- a/tests/wire/message_samples.hpp
+++ b/tests/wire/message_samples.hpp
@@ -109,6 +109,8 @@
                       ""}};
     out.loads = {{target_key{7}, 12, std::chrono::milliseconds{250}},
                  {target_key{0xFFFF'FFFF}, 0, duration{}}};
+    out.failures = {{target_key{7}, router_key{0xFFFF'FFFF}, std::chrono::milliseconds{250}},
+                    {target_key{0xFFFF'FFFF}, router_key{1}, duration{}}};
     return out;
 }
 
