Query the status of runs that the ledger has forwarded

Change: the status of such a run is queried every 5 s too, also after its answer has begun. What the owner still has is fetched; a restarted owner ends it as unknown; a silent one is asked again until the run's own timeout, since it may only be paused. A booking whose answer has begun is queried instead of being ended by that timer.

--- a/include/endivelatch/core/entry_requests.hpp
+++ b/include/endivelatch/core/entry_requests.hpp
@@ -139,7 +139,14 @@
     /// Handles the expiry of a request's timer.
     void expire(const request_id& id, const moment& at, outbox& out);
 
-    /// Schedules the end of the current attempt or, for a booking, the next query of its status.
+    /// Returns whether the status of the request's attempt is queried at intervals: bookings and
+    /// their runs, for whose answers a stopping router waits.
+    static bool is_queried(const pending_request& r);
+
+    /// Returns whether the request runs a booking on behalf of the ledger.
+    static bool is_run_of_booking(const pending_request& r);
+
+    /// Schedules the end of the current attempt or, if it is queried, the next query.
     void arm_attempt_timer(const request_id& id, pending_request& r, const moment& at);
 
     /// Asks the owner for the status of the current attempt.
--- a/src/core/entry_requests.cpp
+++ b/src/core/entry_requests.cpp
@@ -12,8 +12,8 @@
 constexpr duration status_query_timeout = std::chrono::seconds{2};
 constexpr duration resume_timeout = std::chrono::minutes{5};
 constexpr duration run_timeout_margin = std::chrono::seconds{5};
-/// Interval between queries of the status of a forwarded booking. An owner that has just restarted
-/// does not know this router yet, so its answer may be lost without a lost link.
+/// Interval between queries of the status of a forwarded booking or of its run. An owner that has
+/// just restarted does not know this router yet, so its answer may be lost without a lost link.
 constexpr duration booking_query_interval = std::chrono::seconds{5};
 constexpr std::uint64_t events_per_credit = 32;
 
@@ -266,10 +266,20 @@
              resume_request{it->first, r.spec.organisation, r.owner.target, r.delivered});
 }
 
+bool entry_requests::is_queried(const pending_request& r)
+{
+    return !r.spec.key.empty() || is_run_of_booking(r);
+}
+
+bool entry_requests::is_run_of_booking(const pending_request& r)
+{
+    return std::holds_alternative<booking_sink>(r.sink);
+}
+
 void entry_requests::arm_attempt_timer(const request_id& id, pending_request& r, const moment& at)
 {
-    const bool is_booking = !r.spec.key.empty();
-    arm_timer(id, r, is_booking ? std::min(at.now + booking_query_interval, r.ends_at) : r.ends_at);
+    const auto next_query = std::min(at.now + booking_query_interval, r.ends_at);
+    arm_timer(id, r, is_queried(r) ? next_query : r.ends_at);
 }
 
 void entry_requests::query_status(const request_id& id, pending_request& r, const moment& at,
@@ -431,10 +441,18 @@
 {
     auto& r = requests_.at(id);
     const bool is_booking = !r.spec.key.empty();
-    if (is_booking && r.state == phase::forwarded && at.now < r.ends_at) {
+    const bool has_time = at.now < r.ends_at;
+    const bool is_at_owner = r.state == phase::forwarded || r.state == phase::answering;
+    if (is_queried(r) && is_at_owner && has_time) {
         query_status(id, r, at, out);
         return;
     }
+    if (is_run_of_booking(r) && r.state == phase::querying && has_time) {
+        // The owner may only be paused, so its run is not given up.
+        r.state = r.begun ? phase::answering : phase::forwarded;
+        arm_attempt_timer(id, r, at);
+        return;
+    }
     const bool is_unanswered_booking = is_booking && r.state == phase::querying;
     if (r.caller_disconnected && !is_unanswered_booking) {
         cancel(id, r.spec.organisation, out);
--- a/tests/core/entry_requests_test.cpp
+++ b/tests/core/entry_requests_test.cpp
@@ -20,6 +20,14 @@
 
     request_id start() { return requests.start(exchange_sink{exchange_number{1}}, spec, at, out); }
 
+    /// Starts the run of a booking on behalf of the ledger, which may run only once.
+    request_id start_run_of_booking()
+    {
+        spec.repeat = repeatability::non_idempotent;
+        spec.streams = false;
+        return requests.start(booking_sink{}, spec, at, out);
+    }
+
     attempt_key key(const request_id& id, std::uint32_t n) const { return {id, attempt{n}}; }
 
     peer_envelope from(const std::string& owner, std::uint64_t run = 1) const
@@ -133,6 +141,47 @@
     EXPECT_EQ(ended(), outcome::complete);
 }
 
+// The run of a booking has no caller, so only the answer of its owner or the run's timeout ends it.
+// An owner that restarted dropped its answer, and a stopping router waited for the timeout.
+TEST_F(entry_requests_test, lost_answer_of_a_run_for_the_ledger_is_fetched_after_a_query)
+{
+    const auto id = start_run_of_booking();
+    out.take();
+    at.now += std::chrono::seconds{5};
+    requests.tick(at, out);
+    EXPECT_EQ(sent<status_query>(), 1);
+    requests.on_status(from("a"), {key(id, 1), attempt_state::ended, outcome::complete}, at, out);
+    EXPECT_EQ(sent<resume_request>(), 1);
+    requests.on_begin(from("a"), {key(id, 1), 200, "text/plain", ""}, out);
+    requests.on_end(from("a"), {key(id, 1), outcome::complete, {}, "", {}}, at, out);
+    EXPECT_EQ(ended(), outcome::complete);
+}
+
+TEST_F(entry_requests_test, run_for_the_ledger_ends_as_unknown_when_its_owner_has_restarted)
+{
+    const auto id = start_run_of_booking();
+    at.now += std::chrono::seconds{5};
+    requests.tick(at, out);
+    requests.on_status(from("a", 2), {key(id, 1), attempt_state::never_seen, outcome::unknown}, at,
+                       out);
+    EXPECT_EQ(ended(), outcome::unknown);
+}
+
+TEST_F(entry_requests_test, run_for_the_ledger_is_not_given_up_while_its_owner_is_silent)
+{
+    const auto id = start_run_of_booking();
+    requests.on_begin(from("a"), {key(id, 1), 200, "text/plain", ""}, out);
+    const auto ends_at = at.now + std::chrono::seconds{30};
+    while (at.now < ends_at) {
+        at.now += std::chrono::seconds{1};
+        requests.tick(at, out);
+    }
+    EXPECT_GE(sent<status_query>(), 4);
+    EXPECT_FALSE(ended().has_value());
+    requests.on_end(from("a"), {key(id, 1), outcome::complete, {}, "", {}}, at, out);
+    EXPECT_EQ(ended(), outcome::complete);
+}
+
 TEST_F(entry_requests_test, booking_of_a_caller_that_left_is_queried_and_not_cancelled)
 {
     spec.key = booking_key{"k"};
