Ignore failures of a target from before its restart

Cause: found on reading the change: reports about a former incarnation circulate for 2 s, so a target that restarts with the same id was suspected at its return. Change: a failure from before this incarnation was first seen is ignored. Test: choice_fixture.failures_before_a_restart_do_not_count, failed first.

--- a/include/endivelatch/traffic/target_state.hpp
+++ b/include/endivelatch/traffic/target_state.hpp
@@ -91,7 +91,8 @@
     /// Returns whether the target is ejected because of recent failures.
     bool is_ejected(time_point now) const { return now < ejected_until_; }
 
-    /// Records a failure that another router saw at the target.
+    /// Records a failure that another router saw at the target. Failures from before this
+    /// incarnation are ignored.
     void record_remote_failure(router_key reporter, time_point failed_at);
 
     /// Returns the share of requests to keep away from the target because several other routers
--- a/src/traffic/target_state.cpp
+++ b/src/traffic/target_state.cpp
@@ -121,6 +121,9 @@
 
 void target_state::record_remote_failure(router_key reporter, time_point failed_at)
 {
+    if (failed_at < known_since_) {
+        return; // Of an earlier incarnation with the same id.
+    }
     std::erase_if(remote_failures_, [&](const auto& it) {
         return it.reporter == reporter || failed_at - it.failed_at > suspicion_time + trial_time;
     });
--- a/tests/traffic/target_choice_test.cpp
+++ b/tests/traffic/target_choice_test.cpp
@@ -205,6 +205,20 @@
     EXPECT_EQ(choose().target, home);
 }
 
+/// Reports about the former incarnation still circulate when a target with the same id restarts.
+TEST_F(choice_fixture, failures_before_a_restart_do_not_count)
+{
+    auto& restarted = target(1);
+    const auto failed_at = clock.now();
+    clock.advance(std::chrono::milliseconds{500});
+    auto again = restarted.registration();
+    again.started = incarnation{5};
+    table.replace({again}, clock.now());
+    restarted.record_remote_failure(router_key{1}, failed_at);
+    restarted.record_remote_failure(router_key{2}, failed_at);
+    EXPECT_EQ(restarted.suspicion(clock.now()), 0);
+}
+
 TEST_F(choice_fixture, a_suspected_target_is_tried_again_by_few_requests)
 {
     auto& lost = target(1);
