--- a/include/endivelatch/traffic/request.hpp
+++ b/include/endivelatch/traffic/request.hpp
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,13 @@
     std::vector<prompt_part> parts;
 };
 
+/// Returns the parts that may be shared with other requests: all but the last.
+inline std::span<const prompt_part> shared_parts(const prompt_info& prompt)
+{
+    const std::span<const prompt_part> all{prompt.parts};
+    return all.empty() ? all : all.first(all.size() - 1);
+}
+
 /// One attempt of a caller's request.
 struct caller_request {
     caller_attempt_id id;
--- a/include/endivelatch/traffic/traffic_router.hpp
+++ b/include/endivelatch/traffic/traffic_router.hpp
@@ -2,6 +2,7 @@
 
 #include "endivelatch/admission/retry_budget.hpp"
 #include "endivelatch/base/counters.hpp"
+#include "endivelatch/traffic/event_counter.hpp"
 #include "endivelatch/traffic/event_splitter.hpp"
 #include "endivelatch/traffic/target_choice.hpp"
 #include "endivelatch/traffic/traffic_event.hpp"
@@ -99,6 +100,7 @@
         sent_request sent;
         bool is_answering = false;   ///< The head of the answer was received.
         bool has_first_byte = false; ///< The first bytes of the body were received.
+        event_counter events;        ///< Of a stream.
     };
 
     /// State of a request and its answer.
--- /dev/null
+++ b/src/traffic/event_counter.cpp
@@ -0,0 +1,21 @@
+#include "endivelatch/traffic/event_counter.hpp"
+
+namespace endivelatch {
+
+void event_counter::feed(std::string_view bytes)
+{
+    for (const auto byte : bytes) {
+        if (byte != '\n') {
+            is_line_empty_ = is_line_empty_ && byte == '\r';
+            has_partial_event_ = has_partial_event_ || !is_line_empty_;
+            continue;
+        }
+        if (is_line_empty_ && has_partial_event_) {
+            ++complete_events_;
+            has_partial_event_ = false;
+        }
+        is_line_empty_ = true;
+    }
+}
+
+} // namespace endivelatch
--- a/src/traffic/target_choice.cpp
+++ b/src/traffic/target_choice.cpp
@@ -27,13 +27,6 @@
     std::uint64_t rank = 0;        ///< Rendezvous weight.
 };
 
-/// Returns the parts that may be shared with other requests: all but the last.
-std::span<const prompt_part> shared_parts(const prompt_info& prompt)
-{
-    const std::span<const prompt_part> all{prompt.parts};
-    return all.empty() ? all : all.first(all.size() - 1);
-}
-
 /// Returns the rendezvous key: the hash of the last shared part, or of the request if there is
 /// none.
 std::uint64_t placement_hash(const choice_query& query)
--- a/src/traffic/traffic_answers.cpp
+++ b/src/traffic/traffic_answers.cpp
@@ -61,6 +61,7 @@
         it.first_byte_after = now_ - it.arrived_at;
     }
     if (it.route.kind == request_kind::streaming && it.answer && it.answer->is_success()) {
+        it.running->events.feed(bytes);
         if (it.route.is_resumable) {
             handle_events(number, it, bytes);
             return;
--- a/src/traffic/traffic_router.cpp
+++ b/src/traffic/traffic_router.cpp
@@ -3,11 +3,34 @@
 #include "endivelatch/base/overloaded.hpp"
 
 #include <algorithm>
+#include <array>
+#include <cinttypes>
 #include <cmath>
+#include <cstdio>
 #include <utility>
 
 namespace endivelatch {
 
+namespace {
+
+/// Formats the ids of the prompt's shared parts in hexadecimal, separated by commas, for logs.
+std::string format_shared_parts(const caller_request& request)
+{
+    std::string out;
+    if (!request.prompt) {
+        return out;
+    }
+    for (const auto& it : shared_parts(*request.prompt)) {
+        std::array<char, 20> buffer{};
+        const auto n = std::snprintf(buffer.data(), buffer.size(), "%s%" PRIx64,
+                                     out.empty() ? "" : ",", it.id);
+        out.append(buffer.data(), static_cast<std::size_t>(std::max(n, 0)));
+    }
+    return out;
+}
+
+} // namespace
+
 std::string_view to_string(attempt_stage stage)
 {
     switch (stage) {
@@ -86,6 +109,11 @@
             .add("attempt", e.key.number.value())
             .add("target", it->second.running->target)
             .add("stage", to_string(e.stage))
+            .add("route", it->second.route.name)
+            .add("sent_ms", (now_ - it->second.running->sent.at).count() / 1'000)
+            .add("first_byte", it->second.running->has_first_byte ? 1 : 0)
+            .add("events", it->second.running->events.complete_events())
+            .add("parts", format_shared_parts(*it->second.request))
             .add("reason", e.reason));
     metrics_.add("attempts_broken", 1,
                  std::string{"stage=\""} + std::string{to_string(e.stage)} + '"');
@@ -156,7 +184,7 @@
     if (it == exchanges_.end() || !it->second.running->is_answering) {
         return;
     }
-    if (it->second.events.has_partial_event()) {
+    if (it->second.running->events.has_partial_event()) {
         end_attempt(it->second, attempt_outcome::failed);
         retry_or_fail(e.key.exchange, it->second, false, "the stream ended within an event");
         return;
