--- a/tests/traffic/traffic_router_test.cpp
+++ b/tests/traffic/traffic_router_test.cpp
@@ -278,6 +278,29 @@
     ASSERT_NE(find<start_attempt>(), nullptr);
 }
 
+// An answer without a length ends with its connection, which may be closed within an event.
+TEST_F(router_fixture, a_stream_that_cannot_be_resumed_and_ends_within_an_event_is_aborted)
+{
+    arrive("stream");
+    const auto key = started();
+    dispatch(answer_begun{key, success()});
+    dispatch(answer_bytes{key, "id: 1\ndata: a\n\nid: 2\nda"});
+    dispatch(answer_finished{key});
+    EXPECT_EQ(find<end_answer>(), nullptr);
+    EXPECT_NE(find<abort_answer>(), nullptr);
+}
+
+TEST_F(router_fixture, a_stream_that_ends_after_a_complete_event_is_complete)
+{
+    arrive("stream");
+    const auto key = started();
+    dispatch(answer_begun{key, success()});
+    dispatch(answer_bytes{key, "id: 1\r\ndata: a\r\n\r"});
+    dispatch(answer_bytes{key, "\nid: 2\ndata: b\n\n"});
+    dispatch(answer_finished{key});
+    EXPECT_NE(find<end_answer>(), nullptr);
+}
+
 // A target may send bytes without ever ending an event.
 TEST_F(router_fixture, a_stream_with_an_endless_event_is_resumed_at_another_target)
 {
