Do not complete streams that end before their first event

Callers saw an empty 200 as a whole stream when its target closed the connection after the head of an answer without a length: only a stream within an event counted as broken off.

a_stream_that_ends_before_its_first_event_is_not_complete fails without the change (the empty answer begins).

--- a/include/endivelatch/traffic/traffic_router.hpp
+++ b/include/endivelatch/traffic/traffic_router.hpp
@@ -174,6 +174,7 @@
     retry_budget& budget_of(const pool_id& pool);
     void configure_budget(retry_budget& budget) const;
     void record_service_time(const exchange& it);
+    static bool is_cut_stream(const exchange& it);
 
     // Answers, in traffic_answers.cpp.
     void handle_refusal(exchange_number number, exchange& it, const target_answer& answer);
--- a/src/traffic/traffic_router.cpp
+++ b/src/traffic/traffic_router.cpp
@@ -184,7 +184,7 @@
     if (it == exchanges_.end() || !it->second.running->is_answering) {
         return;
     }
-    if (it->second.running->events.has_partial_event()) {
+    if (is_cut_stream(it->second)) {
         end_attempt(it->second, attempt_outcome::failed);
         retry_or_fail(e.key.exchange, it->second, false, "the stream ended within an event");
         return;
@@ -194,6 +194,16 @@
     complete_answer(e.key.exchange, it->second);
 }
 
+/// Returns whether the stream of the running attempt ended within an event or before the first one.
+bool traffic_router::is_cut_stream(const exchange& it)
+{
+    if (it.route.kind != request_kind::streaming || !it.answer || !it.answer->is_success()) {
+        return false;
+    }
+    const auto& events = it.running->events;
+    return events.has_partial_event() || (events.complete_events() == 0 && !it.last_event);
+}
+
 void traffic_router::on(configuration_changed& e)
 {
     configuration_ = std::move(e.configuration);
--- a/tests/traffic/traffic_router_test.cpp
+++ b/tests/traffic/traffic_router_test.cpp
@@ -362,6 +362,18 @@
     }
 }
 
+// A target may close the connection after the head of an answer without a length.
+TEST_F(router_fixture, a_stream_that_ends_before_its_first_event_is_not_complete)
+{
+    arrive("stream");
+    const auto key = started();
+    dispatch(answer_begun{key, success()});
+    dispatch(answer_finished{key});
+    EXPECT_EQ(find<begin_answer>(), nullptr);
+    ASSERT_NE(find<refuse_request>(), nullptr);
+    EXPECT_EQ(find<refuse_request>()->status, 502);
+}
+
 TEST_F(router_fixture, a_leaving_target_gets_no_new_requests)
 {
     targets_changed changed;
