--- a/include/endivelatch/entry/connection_pool.hpp
+++ b/include/endivelatch/entry/connection_pool.hpp
@@ -20,12 +20,19 @@
 /// Identifies an outgoing request within its pool.
 using outgoing_id = number_id<struct outgoing_id_tag>;
 
+/// Describes why a request failed.
+struct request_failure {
+    attempt_stage stage = attempt_stage::not_sent;
+    std::string reason;
+    bool is_closed_by_peer = false; ///< The peer closed or reset the connection.
+};
+
 /// Callbacks of a connection pool. All must be set.
 struct connection_pool_callbacks {
     std::function<void(outgoing_id, response_head&&)> on_head;
     std::function<void(outgoing_id, std::string_view)> on_body;
     std::function<void(outgoing_id)> on_complete;
-    std::function<void(outgoing_id, attempt_stage, const std::string&)> on_failed;
+    std::function<void(outgoing_id, request_failure&&)> on_failed;
 };
 
 /// A request to send.
--- a/include/endivelatch/entry/entry_process_life.hpp
+++ b/include/endivelatch/entry/entry_process_life.hpp
@@ -54,9 +54,10 @@
                             deliver(answer_finished{*key});
                         }
                     },
-                    [this](outgoing_id id, attempt_stage stage, const std::string& reason) {
+                    [this](outgoing_id id, request_failure&& failure) {
                         if (const auto key = remove_attempt(id)) {
-                            deliver(attempt_broken{*key, stage, reason});
+                            deliver(attempt_broken{*key, failure.stage, std::move(failure.reason),
+                                                   failure.is_closed_by_peer});
                         }
                     }}},
       call_client_{loop}, configuration_mirror_{loop,
@@ -100,6 +101,8 @@
               [this](std::vector<received_failure>&& failures) {
                   deliver(failures_received{std::move(failures)});
               },
+              [this](const crash_news& news) { deliver(crash_news_received{news}); },
+              [this] { return router_.crashes().next_news(loop_->now()); },
               [this](duration delay) { on_pause(delay); },
               [this](log_event&& e) { write(std::move(e)); }}},
       router_timer_{loop, [this] { deliver(timer_due{}); }}, housekeeping_{loop,
--- a/include/endivelatch/entry/fleet_view.hpp
+++ b/include/endivelatch/entry/fleet_view.hpp
@@ -25,6 +25,9 @@
 /// Returns how many failure reports can be added to a gossip packet of the given encoded size.
 std::size_t failure_report_capacity(std::size_t packet_size);
 
+/// Returns whether crash reports can be added to a gossip packet of the given encoded size.
+bool has_room_for_crash_news(std::size_t packet_size);
+
 /// Interval between packets that carry only loads and failures, in addition to the packets of the
 /// membership protocol, and number of receivers of each. In fleets of some hundred routers a report
 /// reaches half of them within half a second.
@@ -43,6 +46,10 @@
     std::function<void(std::vector<received_load>&&)> on_loads;
     /// Other routers reported failures of targets that are newer than the known ones.
     std::function<void(std::vector<received_failure>&&)> on_failures;
+    /// Other routers reported crashes of targets.
+    std::function<void(const crash_news&)> on_crash_news;
+    /// Returns what to report of crashes with the next packet.
+    std::function<crash_news()> crash_news_to_send;
     std::function<void(duration)> on_pause; ///< The process was not scheduled for this time.
     std::function<void(log_event&&)> on_log;
 };
--- a/include/endivelatch/membership/gossip.hpp
+++ b/include/endivelatch/membership/gossip.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "endivelatch/base/ids.hpp"
+#include "endivelatch/membership/crash_report.hpp"
 #include "endivelatch/membership/failure_table.hpp"
 #include "endivelatch/membership/load_table.hpp"
 #include "endivelatch/membership/member.hpp"
@@ -62,6 +63,7 @@
     std::vector<summary_entry> summaries;
     std::vector<load_report> loads;
     std::vector<failure_report> failures;
+    crash_news crashes;
 
     friend bool operator==(const gossip_packet&, const gossip_packet&) = default;
 };
--- a/include/endivelatch/net/tcp_stream.hpp
+++ b/include/endivelatch/net/tcp_stream.hpp
@@ -54,6 +54,9 @@
     /// Returns whether the peer closed its sending side orderly (FIN), not with a reset.
     bool has_received_eof() const { return has_received_eof_; }
 
+    /// Returns whether the peer closed or reset the connection, in contrast to a timeout.
+    bool was_closed_by_peer() const { return was_closed_by_peer_; }
+
     /// Returns whether the connection is established.
     bool is_open() const { return is_open_; }
 
@@ -72,6 +75,7 @@
     bool is_flush_posted_ = false;
     bool is_paused_ = false;
     bool has_received_eof_ = false;
+    bool was_closed_by_peer_ = false;
     std::string out_;
     std::unique_ptr<io_watcher> watcher_;
     /// Checked by posted calls, which may outlive the stream.
--- a/include/endivelatch/traffic/traffic_event.hpp
+++ b/include/endivelatch/traffic/traffic_event.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "endivelatch/base/log_event.hpp"
+#include "endivelatch/membership/crash_report.hpp"
 #include "endivelatch/traffic/configuration.hpp"
 #include "endivelatch/traffic/request.hpp"
 #include "endivelatch/traffic/target_state.hpp"
@@ -48,6 +49,7 @@
     exchange_attempt key;
     attempt_stage stage = attempt_stage::not_sent;
     std::string reason;
+    bool is_closed_by_target = false; ///< The target closed or reset the connection.
 };
 
 /// The head of an answer was received.
@@ -107,6 +109,11 @@
     std::vector<received_failure> failures;
 };
 
+/// Reports of crashes were received from another router.
+struct crash_news_received {
+    crash_news news;
+};
+
 /// The process was asked to stop.
 struct stop_announced {
     time_point exits_at{}; ///< Latest exit time of the process.
@@ -118,7 +125,7 @@
 using traffic_event =
     std::variant<request_arrived, caller_disconnected, attempt_broken, answer_begun, answer_bytes,
                  answer_finished, configuration_changed, targets_changed, fleet_changed,
-                 loads_received, failures_received, stop_announced, timer_due>;
+                 loads_received, failures_received, crash_news_received, stop_announced, timer_due>;
 
 /// Sends the request to a target.
 struct start_attempt {
--- a/include/endivelatch/traffic/traffic_router.hpp
+++ b/include/endivelatch/traffic/traffic_router.hpp
@@ -2,6 +2,7 @@
 
 #include "endivelatch/admission/retry_budget.hpp"
 #include "endivelatch/base/counters.hpp"
+#include "endivelatch/traffic/crash_evidence.hpp"
 #include "endivelatch/traffic/event_counter.hpp"
 #include "endivelatch/traffic/event_splitter.hpp"
 #include "endivelatch/traffic/target_choice.hpp"
@@ -48,6 +49,9 @@
     /// Returns whether configuration and targets have been loaded, which serving requires.
     bool is_ready() const { return configuration_ != nullptr && targets_.is_known(); }
 
+    /// Returns the evidence of prompt parts that crash targets.
+    crash_evidence& crashes() { return crashes_; }
+
     /// Returns the metrics of this router.
     counters& metrics() { return metrics_; }
 
@@ -149,6 +153,7 @@
     void on(fleet_changed& e);
     void on(const loads_received& e);
     void on(const failures_received& e);
+    void on(const crash_news_received& e);
     void on(stop_announced& e);
     void on(timer_due& e);
 
@@ -174,6 +179,14 @@
     retry_budget& budget_of(const pool_id& pool);
     void configure_budget(retry_budget& budget) const;
     void record_service_time(const exchange& it);
+
+    // Crashes of targets, in traffic_crashes.cpp.
+    void record_possible_crash(const exchange& it);
+    void record_begun_answer(const exchange& it);
+    void apply_new_quarantines();
+    bool refuse_quarantined(exchange_number number, exchange& it);
+    bool may_have_crashed_targets(const exchange& it) const;
+
     static bool is_cut_stream(const exchange& it);
 
     // Answers, in traffic_answers.cpp.
@@ -205,6 +218,7 @@
     std::set<std::pair<time_point, exchange_number>> timers_;
     std::map<pool_id, retry_budget> budgets_;
     std::map<pool_id, work_estimate> work_;
+    crash_evidence crashes_;
     counters metrics_;
     std::optional<stop_announced> stop_;
     time_point stop_started_at_{};
--- a/src/entry/call_client.cpp
+++ b/src/entry/call_client.cpp
@@ -12,8 +12,8 @@
           {[this](outgoing_id id, response_head&& head) { calls_[id].reply.status = head.status; },
            [this](outgoing_id id, std::string_view bytes) { calls_[id].reply.body += bytes; },
            [this](outgoing_id id) { finish(id, std::move(calls_[id].reply)); },
-           [this](outgoing_id id, attempt_stage, const std::string& reason) {
-               finish(id, call_failed{reason});
+           [this](outgoing_id id, request_failure&& failure) {
+               finish(id, call_failed{std::move(failure.reason)});
            }}}
 {
 }
--- a/src/entry/connection_pool.cpp
+++ b/src/entry/connection_pool.cpp
@@ -240,8 +240,9 @@
     else if (conn.has_answer_bytes) {
         stage = attempt_stage::answering;
     }
+    const bool is_closed_by_peer = conn.stream->was_closed_by_peer();
     drop(conn);
-    callbacks_.on_failed(id, stage, reason);
+    callbacks_.on_failed(id, {stage, reason, is_closed_by_peer});
 }
 
 void connection_pool::drop(connection& conn)
--- a/src/entry/fleet_view.cpp
+++ b/src/entry/fleet_view.cpp
@@ -68,6 +68,13 @@
     return std::min(available / failure_report_size, failure_table::max_reports_per_packet);
 }
 
+bool has_room_for_crash_news(std::size_t packet_size)
+{
+    constexpr auto max_size = max_crash_reports_per_packet * crash_report_size +
+                              max_clearances_per_packet * clearance_size;
+    return packet_size + max_size <= max_gossip_size;
+}
+
 std::string_view to_string(object_kind kind)
 {
     switch (kind) {
@@ -202,6 +209,9 @@
     }
     receive_loads(value_of(packet).loads);
     receive_failures(value_of(packet).failures);
+    if (value_of(packet).crashes != crash_news{}) {
+        callbacks_.on_crash_news(value_of(packet).crashes);
+    }
     if (value_of(packet).kind == gossip_kind::loads) {
         return;
     }
@@ -248,9 +258,10 @@
     packet.from = self_;
     packet.from_run = run_;
     packet.number = ++last_load_packet_;
+    packet.crashes = callbacks_.crash_news_to_send();
     packet.failures = failures_.newest(failure_table::max_reports_per_packet, loop_->now());
     packet.loads = loads_.newest(load_report_capacity(encode(packet).size()), loop_->now());
-    if (packet.loads.empty() && packet.failures.empty()) {
+    if (packet.loads.empty() && packet.failures.empty() && packet.crashes == crash_news{}) {
         return;
     }
     const auto bytes = encode(packet);
@@ -283,6 +294,9 @@
 
 void fleet_view::execute(send_packet& e)
 {
+    if (has_room_for_crash_news(encode(e.packet).size())) {
+        e.packet.crashes = callbacks_.crash_news_to_send();
+    }
     e.packet.failures =
         failures_.newest(failure_report_capacity(encode(e.packet).size()), loop_->now());
     e.packet.loads = loads_.newest(load_report_capacity(encode(e.packet).size()), loop_->now());
--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -159,6 +159,7 @@
         }
         if (n <= 0) {
             has_received_eof_ = n == 0;
+            was_closed_by_peer_ = n == 0 || errno == ECONNRESET;
             fail(n == 0 ? "closed by the peer" : std::strerror(errno));
             return;
         }
@@ -176,6 +177,7 @@
     }
     const auto n = send(fd_, out_.data(), out_.size(), MSG_NOSIGNAL);
     if (n < 0 && errno != EAGAIN && errno != EINTR) {
+        was_closed_by_peer_ = errno == ECONNRESET || errno == EPIPE;
         fail(std::strerror(errno));
         return;
     }
--- /dev/null
+++ b/src/traffic/crash_evidence.cpp
@@ -0,0 +1,336 @@
+#include "endivelatch/traffic/crash_evidence.hpp"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+#include <utility>
+
+namespace endivelatch {
+
+namespace {
+
+duration share_interval(duration age)
+{
+    return std::clamp(age / 10, crash_evidence::min_share_interval,
+                      crash_evidence::max_share_interval);
+}
+
+/// Returns up to `max_count` entries that are due to be shared, those shared longest ago first.
+template <class Entry>
+std::vector<Entry*> select_due(std::vector<Entry*> entries, std::size_t max_count)
+{
+    std::sort(entries.begin(), entries.end(),
+              [](const auto* a, const auto* b) { return a->shared_at < b->shared_at; });
+    entries.resize(std::min(entries.size(), max_count));
+    return entries;
+}
+
+} // namespace
+
+void crash_evidence::record_crash(crash_report_id id, target_key target,
+                                  std::span<const prompt_part> shared, time_point sent_at,
+                                  time_point now)
+{
+    // Those that began least recently first, never begun ones before all.
+    std::vector<std::pair<time_point, part_key>> suspects;
+    for (const auto& it : shared) {
+        const auto begun = begun_.find(part_key{it.id});
+        suspects.emplace_back(begun == begun_.end() ? time_point::min() : begun->second.at,
+                              part_key{it.id});
+    }
+    std::stable_sort(suspects.begin(), suspects.end(),
+                     [](const auto& a, const auto& b) { return a.first < b.first; });
+    crash_record record{id, target, sent_at, now, {}, false, {}};
+    for (const auto& [begun_at, part] : suspects) {
+        const bool is_sound = begun_at != time_point::min() && now - begun_at < recent_begin;
+        if (record.parts.size() < max_parts_per_crash_report &&
+            (!is_sound || record.parts.empty())) {
+            record.parts.push_back(part);
+        }
+    }
+    add(std::move(record), now);
+}
+
+void crash_evidence::add(crash_record&& record, time_point now)
+{
+    expire(now);
+    const bool is_known = std::any_of(records_.begin(), records_.end(),
+                                      [&](const auto& it) { return it.id == record.id; });
+    if (is_known || !remove_cleared_parts(record)) {
+        return;
+    }
+    const bool is_needless = std::any_of(record.parts.begin(), record.parts.end(), [&](auto part) {
+        const auto found = quarantined_.find(part);
+        return found != quarantined_.end() && found->second.size() == 1 &&
+               reports_of(part).size() >= max_reports_per_part;
+    });
+    if (is_needless) {
+        return;
+    }
+    if (records_.size() >= max_reports) {
+        remove_least_useful();
+    }
+    records_.push_back(std::move(record));
+    update_quarantine();
+}
+
+/// Removes the oldest report that is refuted, or else the oldest one without a quarantined part.
+void crash_evidence::remove_least_useful()
+{
+    const auto supports_quarantine = [this](const crash_record& it) {
+        return std::any_of(it.parts.begin(), it.parts.end(),
+                           [this](auto part) { return quarantined_.contains(part); });
+    };
+    auto it = std::find_if(records_.begin(), records_.end(),
+                           [](const auto& record) { return record.is_refuted; });
+    if (it == records_.end()) {
+        it = std::find_if_not(records_.begin(), records_.end(), supports_quarantine);
+    }
+    records_.erase(it == records_.end() ? records_.begin() : it);
+}
+
+/// Removes the parts that were cleared after the crash. Returns whether any is left.
+bool crash_evidence::remove_cleared_parts(crash_record& record)
+{
+    std::erase_if(record.parts, [&](auto part) {
+        const auto begun = begun_.find(part);
+        const bool is_cleared = begun != begun_.end() && begun->second.at > record.crashed_at;
+        if (is_cleared) {
+            begun->second.is_clearance = true;
+        }
+        return is_cleared;
+    });
+    return !record.parts.empty();
+}
+
+void crash_evidence::record_begin(std::span<const prompt_part> shared, time_point now)
+{
+    if (begun_.size() > max_begun_parts) {
+        std::erase_if(begun_, [&](const auto& it) {
+            return now - it.second.at > clearance_lifetime / 2 && !it.second.is_clearance;
+        });
+    }
+    if (begun_.size() > max_begun_parts) {
+        begun_.clear();
+    }
+    for (const auto& it : shared) {
+        clear_part(part_key{it.id}, now, false);
+    }
+}
+
+void crash_evidence::clear_part(part_key part, time_point at, bool was_shared)
+{
+    auto& begun = begun_[part];
+    if (begun.at >= at) {
+        return;
+    }
+    begun.at = at;
+    begun.is_clearance = begun.is_clearance || was_shared;
+    bool has_changed = false;
+    for (const auto& it : records_) {
+        has_changed = has_changed || (it.may_be_due_to(part) && it.crashed_at < at);
+    }
+    if (!has_changed) {
+        return;
+    }
+    std::erase_if(records_, [this](auto& it) { return !remove_cleared_parts(it); });
+    update_quarantine();
+}
+
+void crash_evidence::record_sign_of_life(target_key target, time_point at)
+{
+    bool has_changed = false;
+    for (auto& it : records_) {
+        const auto delay = at - it.crashed_at;
+        if (it.target == target && !it.is_refuted && delay > min_refutation_delay &&
+            delay <= max_refutation_delay) {
+            it.is_refuted = true;
+            has_changed = true;
+        }
+    }
+    if (has_changed) {
+        update_quarantine();
+    }
+}
+
+void crash_evidence::merge(const crash_news& news, time_point now)
+{
+    for (const auto& it : news.clearances) {
+        if (it.age < clearance_lifetime) {
+            clear_part(it.part, now - it.age, true);
+        }
+    }
+    for (const auto& it : news.reports) {
+        if (it.age < report_lifetime && it.parts.size() <= max_parts_per_crash_report) {
+            const auto crashed_at = now - it.age;
+            add({it.id, it.target, crashed_at - it.held, crashed_at, it.parts, false, {}}, now);
+        }
+    }
+}
+
+crash_news crash_evidence::next_news(time_point now)
+{
+    crash_news news;
+    std::vector<crash_record*> records;
+    for (auto& it : records_) {
+        if (!it.is_refuted && now - it.shared_at >= share_interval(now - it.crashed_at)) {
+            records.push_back(&it);
+        }
+    }
+    for (auto* it : select_due(std::move(records), max_crash_reports_per_packet)) {
+        it->shared_at = now;
+        const auto age = std::max(now - it->crashed_at, duration{});
+        news.reports.push_back({it->id, it->target, it->crashed_at - it->sent_at, age, it->parts});
+    }
+    struct due_clearance {
+        part_key part;
+        begun_part* begun;
+        time_point shared_at;
+    };
+    std::vector<due_clearance> due;
+    for (auto& [part, it] : begun_) {
+        const auto age = now - it.at;
+        if (it.is_clearance && age >= clearance_lifetime) {
+            it.is_clearance = false;
+        }
+        if (it.is_clearance && now - it.shared_at >= share_interval(age)) {
+            due.push_back({part, &it, it.shared_at});
+        }
+    }
+    std::vector<due_clearance*> pointers;
+    for (auto& it : due) {
+        pointers.push_back(&it);
+    }
+    for (auto* it : select_due(std::move(pointers), max_clearances_per_packet)) {
+        it->begun->shared_at = now;
+        news.clearances.push_back({it->part, std::max(now - it->begun->at, duration{})});
+    }
+    return news;
+}
+
+std::optional<part_key> crash_evidence::find_quarantined(std::span<const prompt_part> shared,
+                                                         time_point now)
+{
+    if (quarantined_.empty()) {
+        return std::nullopt;
+    }
+    expire(now);
+    const auto is_present = [&](part_key part) {
+        return std::any_of(shared.begin(), shared.end(),
+                           [&](const auto& it) { return it.id == part.value(); });
+    };
+    for (const auto& it : shared) {
+        const auto found = quarantined_.find(part_key{it.id});
+        if (found != quarantined_.end() &&
+            std::all_of(found->second.begin(), found->second.end(), is_present)) {
+            return part_key{it.id};
+        }
+    }
+    return std::nullopt;
+}
+
+duration crash_evidence::quarantine_left(part_key part, time_point now) const
+{
+    const auto crashes = succession(part);
+    if (crashes.empty()) {
+        return duration{};
+    }
+    return std::max(crashes.back()->crashed_at + report_lifetime - now, duration{});
+}
+
+std::size_t crash_evidence::successive_crashes(std::span<const prompt_part> shared) const
+{
+    std::size_t most = 0;
+    for (const auto& it : shared) {
+        most = std::max(most, succession(part_key{it.id}).size());
+    }
+    return most;
+}
+
+std::vector<part_key> crash_evidence::take_new_quarantines()
+{
+    return std::exchange(new_quarantines_, {});
+}
+
+bool crash_evidence::crash_record::may_be_due_to(part_key part) const
+{
+    return !is_refuted && std::find(parts.begin(), parts.end(), part) != parts.end();
+}
+
+std::vector<const crash_evidence::crash_record*> crash_evidence::reports_of(part_key part) const
+{
+    std::vector<const crash_record*> reports;
+    for (const auto& it : records_) {
+        if (it.may_be_due_to(part)) {
+            reports.push_back(&it);
+        }
+    }
+    std::sort(reports.begin(), reports.end(), [](const auto* a, const auto* b) {
+        return std::tie(a->crashed_at, a->id) < std::tie(b->crashed_at, b->id);
+    });
+    return reports;
+}
+
+/// Returns the parts that all reports of the part have in common.
+std::vector<part_key> crash_evidence::common_parts(part_key part) const
+{
+    const auto reports = reports_of(part);
+    auto common = reports.front()->parts;
+    std::erase_if(common, [&](auto other) {
+        return !std::all_of(reports.begin(), reports.end(),
+                            [&](const auto* it) { return it->may_be_due_to(other); });
+    });
+    return common;
+}
+
+/// Returns the longest series of crashes in which each request was sent after the crash before.
+std::vector<const crash_evidence::crash_record*> crash_evidence::succession(part_key part) const
+{
+    std::vector<const crash_record*> series;
+    for (const auto* it : reports_of(part)) {
+        if (series.empty() || it->sent_at >= series.back()->crashed_at) {
+            series.push_back(it);
+        }
+    }
+    return series;
+}
+
+bool crash_evidence::is_conclusive(part_key part) const
+{
+    const auto series = succession(part);
+    std::set<target_key> targets;
+    for (const auto* it : series) {
+        targets.insert(it->target);
+    }
+    return series.size() >= (targets.size() > 1 ? quarantine_threshold : one_target_threshold);
+}
+
+void crash_evidence::expire(time_point now)
+{
+    const auto removed = std::erase_if(
+        records_, [&](const auto& it) { return now - it.crashed_at >= report_lifetime; });
+    if (removed > 0) {
+        update_quarantine();
+    }
+}
+
+void crash_evidence::update_quarantine()
+{
+    std::set<part_key> parts;
+    for (const auto& it : records_) {
+        parts.insert(it.parts.begin(), it.parts.end());
+    }
+    std::unordered_map<part_key, std::vector<part_key>> quarantined;
+    for (const auto part : parts) {
+        if (!is_conclusive(part)) {
+            continue;
+        }
+        if (!quarantined_.contains(part)) {
+            new_quarantines_.push_back(part);
+        }
+        quarantined.emplace(part, common_parts(part));
+    }
+    quarantined_ = std::move(quarantined);
+}
+
+} // namespace endivelatch
--- a/src/traffic/traffic_attempts.cpp
+++ b/src/traffic/traffic_attempts.cpp
@@ -20,6 +20,9 @@
 
 void traffic_router::start_next_attempt(exchange_number number, exchange& it)
 {
+    if (refuse_quarantined(number, it)) {
+        return;
+    }
     choice_query query;
     query.pool = it.pool;
     query.prompt = it.request->prompt ? &*it.request->prompt : nullptr;
@@ -146,7 +149,8 @@
     if (was_not_run) {
         return !it.has_begun || it.route.is_idempotent();
     }
-    if (!it.route.is_idempotent() || it.may_have_run >= it.route.max_attempts) {
+    if (!it.route.is_idempotent() || it.may_have_run >= it.route.max_attempts ||
+        may_have_crashed_targets(it)) {
         return false;
     }
     return !it.has_begun || it.route.is_resumable;
--- a/src/traffic/traffic_router.cpp
+++ b/src/traffic/traffic_router.cpp
@@ -3,10 +3,7 @@
 #include "endivelatch/base/overloaded.hpp"
 
 #include <algorithm>
-#include <array>
-#include <cinttypes>
 #include <cmath>
-#include <cstdio>
 #include <utility>
 
 namespace endivelatch {
@@ -21,10 +18,7 @@
         return out;
     }
     for (const auto& it : shared_parts(*request.prompt)) {
-        std::array<char, 20> buffer{};
-        const auto n = std::snprintf(buffer.data(), buffer.size(), "%s%" PRIx64,
-                                     out.empty() ? "" : ",", it.id);
-        out.append(buffer.data(), static_cast<std::size_t>(std::max(n, 0)));
+        out += (out.empty() ? "" : ",") + format_part(part_key{it.id});
     }
     return out;
 }
@@ -121,8 +115,12 @@
         --it->second.sends;
         --it->second.may_have_run;
     }
+    if (!was_not_sent && e.is_closed_by_target) {
+        record_possible_crash(it->second);
+    }
     end_attempt(it->second, was_not_sent ? attempt_outcome::unreachable : attempt_outcome::failed);
     retry_or_fail(e.key.exchange, it->second, was_not_sent, e.reason);
+    apply_new_quarantines();
 }
 
 void traffic_router::on(answer_begun& e)
@@ -134,6 +132,7 @@
     auto& state = it->second;
     if (auto* target = target_of(state); target != nullptr && e.answer.load) {
         const auto in_flight = e.answer.load->running + e.answer.load->waiting;
+        crashes_.record_sign_of_life(target->key(), now_);
         target->update_load(in_flight, now_);
         effects_.emplace_back(share_load{target->key(), in_flight});
     }
@@ -185,10 +184,13 @@
         return;
     }
     if (is_cut_stream(it->second)) {
+        record_possible_crash(it->second);
         end_attempt(it->second, attempt_outcome::failed);
         retry_or_fail(e.key.exchange, it->second, false, "the stream ended within an event");
+        apply_new_quarantines();
         return;
     }
+    record_begun_answer(it->second);
     record_service_time(it->second);
     end_attempt(it->second, attempt_outcome::answered);
     complete_answer(e.key.exchange, it->second);
@@ -243,6 +245,7 @@
     for (const auto& it : e.loads) {
         if (auto* target = targets_.find(it.target)) {
             target->update_load(it.in_flight, it.reported_at);
+            crashes_.record_sign_of_life(it.target, it.reported_at);
         }
     }
     metrics_.add("loads_heard", e.loads.size());
--- a/src/wire/endivelatch.thrift
+++ b/src/wire/endivelatch.thrift
@@ -201,6 +201,21 @@
   3: i32 age_ms
 }
 
+/** The field `target` is a hash of the target's id, `id` one of the request and its attempt. */
+struct crash_item {
+  1: i64 id
+  2: i32 target
+  3: i32 held_ms
+  4: i32 age_ms
+  5: list<i64> parts
+}
+
+/** An answer to a prompt with the part has begun. */
+struct clearance_item {
+  1: i64 part
+  2: i32 age_ms
+}
+
 struct gossip_packet {
   1: i32 kind
   2: string sender
@@ -218,6 +233,8 @@
   14: optional bool has_whole_list
   15: optional list<load_item> loads
   16: optional list<failure_item> failures
+  17: optional list<crash_item> crashes
+  18: optional list<clearance_item> clearances
 }
 
 struct link_hello {
--- a/src/wire/gossip_codec.cpp
+++ b/src/wire/gossip_codec.cpp
@@ -22,7 +22,7 @@
 }
 
 constexpr std::int32_t max_port = std::numeric_limits<std::uint16_t>::max();
-constexpr std::int32_t max_age_ms = 60'000; ///< Longer than any load report is kept.
+constexpr std::int32_t max_age_ms = 660'000; ///< Longer than any report is kept.
 
 thrift_wire::gossip_endpoint to_struct(const endpoint& it)
 {
@@ -182,6 +182,45 @@
             from_age_ms(it.age_ms)};
 }
 
+thrift_wire::crash_item to_struct(const crash_report& it)
+{
+    thrift_wire::crash_item out;
+    out.id = to_signed(it.id.value());
+    out.target = to_signed(it.target.value());
+    out.held_ms = to_age_ms(it.held);
+    out.age_ms = to_age_ms(it.age);
+    for (const auto part : it.parts) {
+        out.parts.push_back(to_signed(part.value()));
+    }
+    return out;
+}
+
+crash_report from_struct(const thrift_wire::crash_item& it)
+{
+    crash_report out{crash_report_id{to_unsigned(it.id)},
+                     target_key{to_unsigned(it.target)},
+                     from_age_ms(it.held_ms),
+                     from_age_ms(it.age_ms),
+                     {}};
+    for (const auto part : it.parts) {
+        out.parts.emplace_back(to_unsigned(part));
+    }
+    return out;
+}
+
+thrift_wire::clearance_item to_struct(const part_clearance& it)
+{
+    thrift_wire::clearance_item out;
+    out.part = to_signed(it.part.value());
+    out.age_ms = to_age_ms(it.age);
+    return out;
+}
+
+part_clearance from_struct(const thrift_wire::clearance_item& it)
+{
+    return {part_key{to_unsigned(it.part)}, from_age_ms(it.age_ms)};
+}
+
 thrift_wire::gossip_packet to_struct(const gossip_packet& it)
 {
     thrift_wire::gossip_packet out;
@@ -221,6 +260,14 @@
         out.failures.push_back(to_struct(failure));
     }
     out.__isset.failures = !out.failures.empty();
+    for (const auto& crash : it.crashes.reports) {
+        out.crashes.push_back(to_struct(crash));
+    }
+    out.__isset.crashes = !out.crashes.empty();
+    for (const auto& clearance : it.crashes.clearances) {
+        out.clearances.push_back(to_struct(clearance));
+    }
+    out.__isset.clearances = !out.clearances.empty();
     return out;
 }
 
@@ -252,6 +299,12 @@
     for (const auto& failure : it.failures) {
         out.failures.push_back(from_struct(failure));
     }
+    for (const auto& crash : it.crashes) {
+        out.crashes.reports.push_back(from_struct(crash));
+    }
+    for (const auto& clearance : it.clearances) {
+        out.crashes.clearances.push_back(from_struct(clearance));
+    }
     return out;
 }
 
--- a/tests/entry/connection_pool_test.cpp
+++ b/tests/entry/connection_pool_test.cpp
@@ -60,8 +60,8 @@
          },
          [this](outgoing_id id, std::string_view bytes) { outcomes[id].body += bytes; },
          [this](outgoing_id id) { outcomes[id].is_complete = true; },
-         [this](outgoing_id id, attempt_stage stage, const std::string&) {
-             outcomes[id].failed_stage = stage;
+         [this](outgoing_id id, request_failure&& failure) {
+             outcomes[id].failed_stage = failure.stage;
          }}};
 };
 
--- a/tests/entry/load_report_capacity_test.cpp
+++ b/tests/entry/load_report_capacity_test.cpp
@@ -1,4 +1,5 @@
 #include "endivelatch/entry/fleet_view.hpp"
+#include "endivelatch/traffic/crash_evidence.hpp"
 #include "endivelatch/wire/codec.hpp"
 
 #include <limits>
@@ -26,5 +27,25 @@
     }
 }
 
+TEST(crash_news_capacity, keeps_packets_within_the_maximum_size)
+{
+    for (std::size_t filled = 0; filled < max_gossip_size; filled += 13) {
+        gossip_packet packet;
+        packet.from = router_id{std::string(filled, 'x')};
+        if (!has_room_for_crash_news(encode(packet).size())) {
+            continue;
+        }
+        constexpr auto largest = std::numeric_limits<std::uint64_t>::max() / 2;
+        const crash_report report{crash_report_id{largest},
+                                  target_key{std::numeric_limits<std::uint32_t>::max() / 2},
+                                  crash_evidence::report_lifetime, crash_evidence::report_lifetime,
+                                  std::vector(max_parts_per_crash_report, part_key{largest})};
+        packet.crashes.reports.assign(max_crash_reports_per_packet, report);
+        packet.crashes.clearances.assign(max_clearances_per_packet,
+                                         {part_key{largest}, crash_evidence::clearance_lifetime});
+        EXPECT_LE(encode(packet).size(), max_gossip_size) << filled;
+    }
+}
+
 } // namespace
 } // namespace endivelatch
--- a/tests/serve/serve_fleet.cpp
+++ b/tests/serve/serve_fleet.cpp
@@ -40,7 +40,7 @@
                               responses[id].is_complete = true;
                               responses[id].has_ended = true;
                           },
-                          [this](outgoing_id id, attempt_stage, const std::string&) {
+                          [this](outgoing_id id, request_failure&&) {
                               responses[id].has_ended = true;
                           }}},
       router_count_{count}, port_base_{choose_first_port()}, dir_{testing::TempDir() +
--- a/tests/traffic/router_fixture.hpp
+++ b/tests/traffic/router_fixture.hpp
@@ -94,6 +94,25 @@
         return number;
     }
 
+    /// Dispatches a new request whose prompt has the given parts.
+    exchange_number arrive_with_parts(const std::string& host, std::vector<std::uint64_t> parts)
+    {
+        caller_request request;
+        const exchange_number number{++last_number};
+        request.id = caller_attempt_id{"r" + std::to_string(last_number)};
+        request.method = "POST";
+        request.target = "/p/x";
+        request.host = host;
+        request.api_key = "key";
+        request.prompt.emplace();
+        for (const auto id : parts) {
+            request.prompt->parts.push_back({id, 100});
+            request.prompt->tokens += 100;
+        }
+        dispatch(request_arrived{number, std::move(request)});
+        return number;
+    }
+
     /// Returns the last effect of the given type from the last event, or null.
     template <class Effect>
     const Effect* find() const
--- a/tests/wire/packet_size_test.cpp
+++ b/tests/wire/packet_size_test.cpp
@@ -21,7 +21,9 @@
     for (const auto& it : packet.summaries) {
         size += encoded_size(it) + group_header_size(it);
     }
-    return size + packet.failures.size() * failure_report_size;
+    return size + packet.failures.size() * failure_report_size +
+           packet.crashes.reports.size() * crash_report_size +
+           packet.crashes.clearances.size() * clearance_size;
 }
 
 RC_GTEST_PROP(packet_sizes, are_bounded,
