--- a/include/endivelatch/entry/entry_process_life.hpp
+++ b/include/endivelatch/entry/entry_process_life.hpp
@@ -88,7 +88,7 @@
              incarnation{static_cast<std::uint64_t>(
                  std::chrono::system_clock::now().time_since_epoch() / duration{1'000})},
              {[this] {
-                  deliver(fleet_changed{fleet_.live_count()});
+                  deliver(fleet_changed{fleet_.live_count(), fleet_.live_fleet()});
                   configuration_mirror_.on_peers_changed();
                   target_mirror_.on_peers_changed();
               },
@@ -101,6 +101,9 @@
               [this](std::vector<received_failure>&& failures) {
                   deliver(failures_received{std::move(failures)});
               },
+              [this](std::vector<received_limit>&& limits) {
+                  deliver(limits_received{std::move(limits)});
+              },
               [this](const crash_news& news) { deliver(crash_news_received{news}); },
               [this] { return router_.crashes().next_news(loop_->now()); },
               [this](duration delay) { on_pause(delay); },
--- a/include/endivelatch/entry/fleet_view.hpp
+++ b/include/endivelatch/entry/fleet_view.hpp
@@ -25,6 +25,9 @@
 /// Returns how many failure reports can be added to a gossip packet of the given encoded size.
 std::size_t failure_report_capacity(std::size_t packet_size);
 
+/// Returns how many limit reports can be added to a gossip packet of the given encoded size.
+std::size_t limit_report_capacity(std::size_t packet_size);
+
 /// Returns whether crash reports can be added to a gossip packet of the given encoded size.
 bool has_room_for_crash_news(std::size_t packet_size);
 
@@ -46,6 +49,8 @@
     std::function<void(std::vector<received_load>&&)> on_loads;
     /// Other routers reported failures of targets that are newer than the known ones.
     std::function<void(std::vector<received_failure>&&)> on_failures;
+    /// Other routers reported rate limits of targets that are newer than the known ones.
+    std::function<void(std::vector<received_limit>&&)> on_limits;
     /// Other routers reported crashes of targets.
     std::function<void(const crash_news&)> on_crash_news;
     /// Returns what to report of crashes with the next packet.
@@ -55,7 +60,7 @@
 };
 
 /// Tracks the other entry routers: whether they are live and ready, which copies they hold, and the
-/// loads and failures of targets that they report. Runs the membership protocol over UDP.
+/// loads, failures and limits of targets that they report. Runs the membership protocol over UDP.
 class fleet_view {
 public:
     fleet_view(event_loop& loop, const entry_settings& settings, incarnation run,
@@ -82,12 +87,18 @@
     /// Announces that a target has failed to answer this router.
     void publish_failure(target_key target);
 
+    /// Announces a rate limit that a target has just stated or lifted.
+    void publish_limit(target_key target, std::optional<request_rate> limit);
+
     /// Announces that this router stops.
     void leave();
 
     /// Returns the number of live routers, including this one.
     std::uint32_t live_count() const;
 
+    /// Returns the live routers.
+    router_fleet live_fleet() const;
+
     /// Returns the caller addresses of the other routers that are alive and ready.
     std::vector<endpoint> ready_peers() const;
 
@@ -115,6 +126,8 @@
     void receive(const endpoint& from, std::string_view bytes);
     void receive_loads(const std::vector<load_report>& loads);
     void receive_failures(const std::vector<failure_report>& failures);
+    void receive_limits(const std::vector<limit_report>& limits);
+    void add_target_reports(gossip_packet& packet);
     void send_load_packets();
     void tick();
     void apply(membership_effects&& effects);
@@ -143,6 +156,7 @@
     std::map<router_id, bool> ready_;
     load_table loads_;
     failure_table failures_;
+    limit_table limits_;
     random_source random_;
     std::uint64_t bytes_sent_ = 0;
 };
--- a/include/endivelatch/membership/gossip.hpp
+++ b/include/endivelatch/membership/gossip.hpp
@@ -3,6 +3,7 @@
 #include "endivelatch/base/ids.hpp"
 #include "endivelatch/membership/crash_report.hpp"
 #include "endivelatch/membership/failure_table.hpp"
+#include "endivelatch/membership/limit_table.hpp"
 #include "endivelatch/membership/load_table.hpp"
 #include "endivelatch/membership/member.hpp"
 #include "endivelatch/membership/summary.hpp"
@@ -64,6 +65,7 @@
     std::vector<load_report> loads;
     std::vector<failure_report> failures;
     crash_news crashes;
+    std::vector<limit_report> limits;
 
     friend bool operator==(const gossip_packet&, const gossip_packet&) = default;
 };
--- /dev/null
+++ b/include/endivelatch/membership/limit_table.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "endivelatch/base/request_rate.hpp"
+#include "endivelatch/base/time.hpp"
+#include "endivelatch/membership/load_table.hpp"
+
+#include <cstddef>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+/// Rate limits of targets that routers share with each other.
+namespace endivelatch {
+
+/// Rate limit of a target, as shared between routers.
+struct limit_report {
+    target_key target;
+    std::optional<request_rate> limit; ///< Over all routers. Nothing if it was lifted.
+    duration age{};                    ///< Time since the target stated it.
+
+    friend bool operator==(const limit_report&, const limit_report&) = default;
+};
+
+/// Holds the newest rate limit of each target, stated to this router or to others.
+///
+/// A target states its limit in answers. Only a few routers send to a limited target, so the others
+/// learn from them when the limit changes or is lifted.
+class limit_table {
+public:
+    /// Stores what a target stated to this router.
+    void record(target_key target, std::optional<request_rate> limit, time_point now);
+
+    /// Stores a report of another router if it is newer than the known one by at least
+    /// `min_interval`; returns whether it was stored.
+    bool update(target_key target, std::optional<request_rate> limit, time_point stated_at);
+
+    /// Returns up to `max_count` reports that are due to be shared, those shared longest ago first.
+    /// Removes expired ones.
+    std::vector<limit_report> next_reports(std::size_t max_count, time_point now);
+
+    /// Returns the number of targets that have a report.
+    std::size_t size() const { return records_.size(); }
+
+    /// Age at which a limit expires that no answer has confirmed.
+    static constexpr duration lifetime{60'000'000};
+    /// Age at which the report of a lifted limit expires.
+    static constexpr duration lifted_lifetime{10'000'000};
+    /// Copies of one report differ by their transit times, which are not part of the age.
+    static constexpr duration min_interval{100'000};
+    /// Interval at which a report is shared: while the limit has changed within `recent_change`,
+    /// and later.
+    static constexpr duration share_interval_after_change{100'000};
+    static constexpr duration share_interval{1'000'000};
+    static constexpr duration recent_change{3'000'000};
+    /// Maximum reports per packet, which leaves most of it to loads and members.
+    static constexpr std::size_t max_reports_per_packet = 16;
+
+private:
+    struct record_entry {
+        std::optional<request_rate> limit;
+        time_point stated_at{};
+        time_point changed_at{};
+        time_point shared_at{};
+    };
+
+    void store(target_key target, std::optional<request_rate> limit, time_point stated_at);
+
+    std::unordered_map<target_key, record_entry> records_;
+};
+
+} // namespace endivelatch
--- a/include/endivelatch/membership/packet_size.hpp
+++ b/include/endivelatch/membership/packet_size.hpp
@@ -31,4 +31,7 @@
 inline constexpr std::size_t crash_report_size = 130;
 inline constexpr std::size_t clearance_size = 24;
 
+/// Maximum size of a limit report in bytes: target, limit and age with their field headers.
+inline constexpr std::size_t limit_report_size = 20;
+
 } // namespace endivelatch
--- a/include/endivelatch/net/platform_client.hpp
+++ b/include/endivelatch/net/platform_client.hpp
@@ -2,8 +2,8 @@
 
 #include "endivelatch/base/hash.hpp"
 #include "endivelatch/base/result.hpp"
+#include "endivelatch/base/token_bucket.hpp"
 #include "endivelatch/net/http_client.hpp"
-#include "endivelatch/net/token_bucket.hpp"
 #include "endivelatch/platform/object.hpp"
 
 #include <deque>
--- a/include/endivelatch/traffic/request.hpp
+++ b/include/endivelatch/traffic/request.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "endivelatch/base/ids.hpp"
+#include "endivelatch/base/request_rate.hpp"
 #include "endivelatch/base/time.hpp"
 #include "endivelatch/http1/http_header.hpp"
 #include "endivelatch/membership/member.hpp"
@@ -84,7 +85,9 @@
     bool is_signed = false;      ///< Carries a signature that proves it comes from the target.
     bool states_not_run = false; ///< The target reports that it did not run the request.
     std::optional<target_load> load;
-    std::optional<std::uint64_t> length; ///< Size of the body in bytes, if known in advance.
+    bool states_limit = false;                 ///< States a rate limit, which may be unreadable.
+    std::optional<request_rate> request_limit; ///< Requests that the target takes from all routers.
+    std::optional<std::uint64_t> length;       ///< Size of the body in bytes, if known in advance.
 
     /// Returns whether the status is 2xx.
     bool is_success() const { return status >= 200 && status < 300; }
--- a/include/endivelatch/traffic/target_state.hpp
+++ b/include/endivelatch/traffic/target_state.hpp
@@ -6,6 +6,7 @@
 #include "endivelatch/membership/load_table.hpp"
 #include "endivelatch/membership/member.hpp"
 #include "endivelatch/traffic/request.hpp"
+#include "endivelatch/traffic/shared_limit.hpp"
 
 #include <array>
 #include <cstdint>
@@ -37,6 +38,12 @@
     unreachable, ///< Connection failed, or another target answered at the address.
 };
 
+/// Reason why a target must not get a request now.
+enum class target_obstacle {
+    full,    ///< It refused a request within `target_state::full_duration`.
+    limited, ///< This router has used its share of the target's rate limit.
+};
+
 /// A request that this router sent to a target.
 struct sent_request {
     time_point at{};
@@ -102,8 +109,22 @@
     /// enough, since it may be cut off itself.
     double suspicion(time_point now) const;
 
-    /// Returns whether the target refused a request within `full_duration`.
-    bool is_full(time_point now) const { return now < full_until_; }
+    /// Sets the rate limit that the target has stated, or removes it. Statements from before this
+    /// incarnation or the last statement are ignored. Returns whether the limit has changed.
+    bool set_limit(std::optional<request_rate> limit, time_point stated_at,
+                   const router_fleet& fleet, time_point now);
+
+    /// Updates this router's share in the target's limit after a change of the live routers.
+    void update_limit_share(const router_fleet& fleet, time_point now);
+
+    /// Returns the rate limit in force, or null.
+    const shared_limit* limit() const { return limit_ ? &*limit_ : nullptr; }
+
+    /// Returns why the target must not get a request of this router now, if it must not.
+    std::optional<target_obstacle> obstacle(time_point now) const;
+
+    /// Returns the time until `obstacle` returns nothing, if no other obstacle arises.
+    duration obstacle_left(time_point now) const;
 
     /// Returns the number of requests of this router in flight.
     std::uint32_t own_in_flight() const { return own_in_flight_; }
@@ -206,6 +227,8 @@
     std::uint32_t own_in_flight_at_report_ = 0;
     time_point reported_at_{};
     time_point full_until_{};
+    std::optional<shared_limit> limit_;
+    time_point limit_stated_at_{}; ///< Time of the last statement, also of none.
     time_point ejected_until_{};
     duration next_ejection_time_{base_ejection_time};
     std::array<outcome_entry, outcome_history_size> outcomes_{};
--- a/include/endivelatch/traffic/target_table.hpp
+++ b/include/endivelatch/traffic/target_table.hpp
@@ -20,6 +20,9 @@
     /// Returns the target with the given load report key, or null.
     target_state* find(target_key key);
 
+    /// Updates this router's shares in the limits of targets.
+    void update_limit_shares(const router_fleet& fleet, time_point now);
+
     /// Returns the targets of the pool that accept new requests.
     const std::vector<target_state*>& ready(const pool_id& pool) const;
 
--- a/include/endivelatch/traffic/traffic_event.hpp
+++ b/include/endivelatch/traffic/traffic_event.hpp
@@ -80,9 +80,10 @@
     std::uint64_t revision = 0; ///< Revision of the platform's target list, for logs.
 };
 
-/// The number of live routers has changed.
+/// The live routers have changed.
 struct fleet_changed {
     std::uint32_t routers = 1; ///< Including this router.
+    router_fleet fleet;
 };
 
 /// Load report of a target, passed on by another router.
@@ -109,6 +110,18 @@
     std::vector<received_failure> failures;
 };
 
+/// Rate limit that a target stated to another router, or that it lifted.
+struct received_limit {
+    target_key target;
+    std::optional<request_rate> limit;
+    time_point stated_at{};
+};
+
+/// Rate limits of targets were received from other routers.
+struct limits_received {
+    std::vector<received_limit> limits;
+};
+
 /// Reports of crashes were received from another router.
 struct crash_news_received {
     crash_news news;
@@ -125,7 +138,8 @@
 using traffic_event =
     std::variant<request_arrived, caller_disconnected, attempt_broken, answer_begun, answer_bytes,
                  answer_finished, configuration_changed, targets_changed, fleet_changed,
-                 loads_received, failures_received, crash_news_received, stop_announced, timer_due>;
+                 loads_received, failures_received, limits_received, crash_news_received,
+                 stop_announced, timer_due>;
 
 /// Sends the request to a target.
 struct start_attempt {
@@ -191,6 +205,12 @@
     target_key target;
 };
 
+/// Shares the rate limit that a target has just stated with other routers.
+struct share_limit {
+    target_key target;
+    std::optional<request_rate> limit; ///< Nothing if it was lifted.
+};
+
 /// Writes a line to the log.
 struct write_log {
     log_event event;
@@ -198,7 +218,7 @@
 
 using traffic_effect =
     std::variant<start_attempt, cancel_attempt, skip_answer, begin_answer, send_bytes, end_answer,
-                 abort_answer, refuse_request, share_load, share_failure, write_log>;
+                 abort_answer, refuse_request, share_load, share_failure, share_limit, write_log>;
 using traffic_effects = std::vector<traffic_effect>;
 
 } // namespace endivelatch
--- a/include/endivelatch/traffic/traffic_router.hpp
+++ b/include/endivelatch/traffic/traffic_router.hpp
@@ -153,6 +153,7 @@
     void on(fleet_changed& e);
     void on(const loads_received& e);
     void on(const failures_received& e);
+    void on(const limits_received& e);
     void on(const crash_news_received& e);
     void on(stop_announced& e);
     void on(timer_due& e);
@@ -205,7 +206,12 @@
     void set_timer(exchange_number number, exchange& it, time_point at);
     exchange_map::iterator find_exchange(const exchange_attempt& key);
     target_state* target_of(const exchange& it);
+    duration retry_after_for(no_target_reason reason, const exchange& it) const;
     duration late_retry_after(const exchange& it) const;
+    duration limited_retry_after(const exchange& it) const;
+    void record_limit(target_state& target, const target_answer& answer);
+    void apply_limit(target_state& target, std::optional<request_rate> limit, time_point stated_at,
+                     std::string_view source);
     void log(log_event&& event) { effects_.emplace_back(write_log{std::move(event)}); }
 
     traffic_settings settings_;
@@ -213,6 +219,7 @@
     target_table targets_;
     std::uint64_t targets_revision_ = 0;
     std::uint32_t routers_ = 1;
+    router_fleet fleet_;
     exchange_map exchanges_;
     std::deque<early_request> early_requests_; ///< In order of arrival.
     std::set<std::pair<time_point, exchange_number>> timers_;
--- a/src/entry/fleet_view.cpp
+++ b/src/entry/fleet_view.cpp
@@ -68,6 +68,12 @@
     return std::min(available / failure_report_size, failure_table::max_reports_per_packet);
 }
 
+std::size_t limit_report_capacity(std::size_t packet_size)
+{
+    const auto available = max_gossip_size - std::min(packet_size, max_gossip_size);
+    return std::min(available / limit_report_size, limit_table::max_reports_per_packet);
+}
+
 bool has_room_for_crash_news(std::size_t packet_size)
 {
     constexpr auto max_size = max_crash_reports_per_packet * crash_report_size +
@@ -140,6 +146,11 @@
     failures_.update(target, key_of(self_), loop_->now());
 }
 
+void fleet_view::publish_limit(target_key target, std::optional<request_rate> limit)
+{
+    limits_.record(target, limit, loop_->now());
+}
+
 void fleet_view::leave()
 {
     apply(membership_.leave(loop_->now()));
@@ -150,6 +161,17 @@
     return static_cast<std::uint32_t>(std::max<std::size_t>(membership_.live().size(), 1));
 }
 
+router_fleet fleet_view::live_fleet() const
+{
+    router_fleet fleet{key_of(self_), {}};
+    for (const auto& router : membership_.live()) {
+        if (router.id != self_) {
+            fleet.others.push_back(key_of(router.id));
+        }
+    }
+    return fleet;
+}
+
 std::vector<endpoint> fleet_view::ready_peers() const
 {
     std::vector<endpoint> addresses;
@@ -209,6 +231,7 @@
     }
     receive_loads(value_of(packet).loads);
     receive_failures(value_of(packet).failures);
+    receive_limits(value_of(packet).limits);
     if (value_of(packet).crashes != crash_news{}) {
         callbacks_.on_crash_news(value_of(packet).crashes);
     }
@@ -246,6 +269,33 @@
     }
 }
 
+void fleet_view::receive_limits(const std::vector<limit_report>& limits)
+{
+    std::vector<received_limit> newer;
+    for (const auto& it : limits) {
+        const auto stated_at = loop_->now() - it.age;
+        if (limits_.update(it.target, it.limit, stated_at)) {
+            newer.push_back({it.target, it.limit, stated_at});
+        }
+    }
+    if (!newer.empty()) {
+        callbacks_.on_limits(std::move(newer));
+    }
+}
+
+/// Adds what is known of targets to a packet, as far as it fits.
+void fleet_view::add_target_reports(gossip_packet& packet)
+{
+    if (has_room_for_crash_news(encode(packet).size())) {
+        packet.crashes = callbacks_.crash_news_to_send();
+    }
+    packet.limits =
+        limits_.next_reports(limit_report_capacity(encode(packet).size()), loop_->now());
+    packet.failures =
+        failures_.newest(failure_report_capacity(encode(packet).size()), loop_->now());
+    packet.loads = loads_.newest(load_report_capacity(encode(packet).size()), loop_->now());
+}
+
 void fleet_view::send_load_packets()
 {
     load_packet_timer_.start(load_packet_interval);
@@ -258,10 +308,9 @@
     packet.from = self_;
     packet.from_run = run_;
     packet.number = ++last_load_packet_;
-    packet.crashes = callbacks_.crash_news_to_send();
-    packet.failures = failures_.newest(failure_table::max_reports_per_packet, loop_->now());
-    packet.loads = loads_.newest(load_report_capacity(encode(packet).size()), loop_->now());
-    if (packet.loads.empty() && packet.failures.empty() && packet.crashes == crash_news{}) {
+    add_target_reports(packet);
+    if (packet.loads.empty() && packet.failures.empty() && packet.limits.empty() &&
+        packet.crashes == crash_news{}) {
         return;
     }
     const auto bytes = encode(packet);
@@ -294,12 +343,7 @@
 
 void fleet_view::execute(send_packet& e)
 {
-    if (has_room_for_crash_news(encode(e.packet).size())) {
-        e.packet.crashes = callbacks_.crash_news_to_send();
-    }
-    e.packet.failures =
-        failures_.newest(failure_report_capacity(encode(e.packet).size()), loop_->now());
-    e.packet.loads = loads_.newest(load_report_capacity(encode(e.packet).size()), loop_->now());
+    add_target_reports(e.packet);
     const auto bytes = encode(e.packet);
     bytes_sent_ += bytes.size();
     socket_.send(e.to, bytes);
--- a/src/traffic/target_choice.cpp
+++ b/src/traffic/target_choice.cpp
@@ -114,7 +114,7 @@
     for (auto& it : all) {
         home = home == nullptr || it.rank > home->rank ? &it : home;
         const bool is_available =
-            !it.has_failed && !it.target->is_full(now) && !was_tried(query, it);
+            !it.has_failed && !it.target->obstacle(now) && !was_tried(query, it);
         if (is_available && (acting == nullptr || it.rank > acting->rank)) {
             acting = &it;
         }
@@ -183,7 +183,7 @@
 /// Returns whether the target can accept one more request within its load bound.
 bool is_below_bound(const choice_query& query, const candidate& it, double mean, time_point now)
 {
-    if (it.has_failed || it.target->is_full(now)) {
+    if (it.has_failed || it.target->obstacle(now)) {
         return false;
     }
     const auto bound = query.load_bound * bound_share(*it.target, now) * mean + load_allowance;
@@ -236,11 +236,22 @@
     return a.cost_ms < b.cost_ms || (a.cost_ms == b.cost_ms && a.rank > b.rank);
 }
 
+/// Returns the mean load of the targets without a rate limit, or of all if each has one. Limited
+/// targets hold less than their part, so the others have to hold more.
 double mean_in_flight(const std::vector<candidate>& all)
 {
-    const auto total = std::accumulate(
-        all.begin(), all.end(), 0.0, [](double sum, const auto& it) { return sum + it.in_flight; });
-    return total / static_cast<double>(all.size());
+    double total = 0;
+    double unlimited_total = 0;
+    std::size_t unlimited = 0;
+    for (const auto& it : all) {
+        total += it.in_flight;
+        if (it.target->limit() == nullptr) {
+            unlimited_total += it.in_flight;
+            ++unlimited;
+        }
+    }
+    return unlimited > 0 ? unlimited_total / static_cast<double>(unlimited)
+                         : total / static_cast<double>(all.size());
 }
 
 /// Returns the target to which this router sent the most of the prompt's shared parts, if it caches
@@ -318,6 +329,8 @@
         return "all_tried";
     case no_target_reason::all_full:
         return "all_full";
+    case no_target_reason::all_limited:
+        return "all_limited";
     case no_target_reason::all_late:
         return "all_late";
     }
@@ -341,17 +354,19 @@
     mark_homes(query, all, now);
 
     const candidate* best = nullptr;
-    const candidate* fallback = nullptr; ///< Above its bound or ejected, but not full.
+    const candidate* fallback = nullptr; ///< Above its bound or ejected, but without obstacle.
+    bool is_any_limited = false;
     for (auto& it : all) {
         if (was_tried(query, it)) {
             continue;
         }
         query.prompt != nullptr ? estimate_engine_cost(query, it, now)
                                 : estimate_service_cost(query, it);
+        is_any_limited = is_any_limited || it.target->obstacle(now) == target_obstacle::limited;
         if (is_below_bound(query, it, mean, now)) {
             best = best == nullptr || is_better(query, it, *best) ? &it : best;
         }
-        else if (!it.target->is_full(now)) {
+        else if (!it.target->obstacle(now)) {
             fallback = fallback == nullptr || it.in_flight < fallback->in_flight ? &it : fallback;
         }
     }
@@ -362,7 +377,7 @@
         best = fallback;
     }
     if (best == nullptr) {
-        return no_target_reason::all_full;
+        return is_any_limited ? no_target_reason::all_limited : no_target_reason::all_full;
     }
     const bool is_first = query.tried == nullptr || query.tried->empty();
     if (query.prompt != nullptr && is_first &&
--- a/src/traffic/target_state.cpp
+++ b/src/traffic/target_state.cpp
@@ -28,6 +28,9 @@
     ++own_in_flight_;
     prefill_tokens_ += request.prefill_tokens;
     waiting_.push_back(request);
+    if (limit_) {
+        limit_->record_send(request.at);
+    }
 }
 
 bool target_state::remove_waiting(const sent_request& request)
@@ -155,6 +158,50 @@
     return 1 - share * share; // The square keeps the first trials few.
 }
 
+bool target_state::set_limit(std::optional<request_rate> limit, time_point stated_at,
+                             const router_fleet& fleet, time_point now)
+{
+    if (stated_at < known_since_ || stated_at < limit_stated_at_) {
+        return false;
+    }
+    limit_stated_at_ = stated_at;
+    const auto former = limit_ ? std::optional{limit_->limit()} : std::nullopt;
+    if (!limit) {
+        limit_.reset();
+    }
+    else if (limit_) {
+        limit_->set_limit(*limit, stated_at, fleet, now);
+    }
+    else {
+        limit_.emplace(*limit, stated_at, hash_, fleet, now);
+    }
+    return limit != former;
+}
+
+void target_state::update_limit_share(const router_fleet& fleet, time_point now)
+{
+    if (limit_) {
+        limit_->update_share(fleet, now);
+    }
+}
+
+std::optional<target_obstacle> target_state::obstacle(time_point now) const
+{
+    if (limit_ && limit_->wait(now) > duration{}) {
+        return target_obstacle::limited;
+    }
+    if (now < full_until_) {
+        return target_obstacle::full;
+    }
+    return std::nullopt;
+}
+
+duration target_state::obstacle_left(time_point now) const
+{
+    const auto full_left = std::max(full_until_ - now, duration{});
+    return limit_ ? std::max(full_left, limit_->wait(now)) : full_left;
+}
+
 void target_state::eject(time_point now)
 {
     if (is_ejected(now)) {
--- a/src/traffic/target_table.cpp
+++ b/src/traffic/target_table.cpp
@@ -40,6 +40,13 @@
     is_known_ = true;
 }
 
+void target_table::update_limit_shares(const router_fleet& fleet, time_point now)
+{
+    for (auto& [id, state] : targets_) {
+        state.update_limit_share(fleet, now);
+    }
+}
+
 target_state* target_table::find(const target_id& id)
 {
     const auto it = targets_.find(id);
--- a/src/traffic/traffic_attempts.cpp
+++ b/src/traffic/traffic_attempts.cpp
@@ -42,14 +42,38 @@
                 .add("reason", to_string(*reason))
                 .add("targets", targets_.ready(it.pool).size())
                 .add("revision", targets_revision_));
-        const auto retry_after =
-            *reason == no_target_reason::all_late ? late_retry_after(it) : full_retry_after;
-        fail_request(number, it, it.may_have_run > 0 ? 502 : 503, to_string(*reason), retry_after);
+        fail_request(number, it, it.may_have_run > 0 ? 502 : 503, to_string(*reason),
+                     retry_after_for(*reason, it));
         return;
     }
     send_attempt(number, it, std::get<chosen_target>(result));
 }
 
+duration traffic_router::retry_after_for(no_target_reason reason, const exchange& it) const
+{
+    switch (reason) {
+    case no_target_reason::all_late:
+        return late_retry_after(it);
+    case no_target_reason::all_limited:
+        return limited_retry_after(it);
+    case no_target_reason::none_registered:
+    case no_target_reason::all_tried:
+    case no_target_reason::all_full:
+        break;
+    }
+    return full_retry_after;
+}
+
+/// Returns the time until this router may send to one of the targets. It differs between routers.
+duration traffic_router::limited_retry_after(const exchange& it) const
+{
+    duration shortest = max_late_retry_after;
+    for (const auto* target : targets_.ready(it.pool)) {
+        shortest = std::min(shortest, target->obstacle_left(now_));
+    }
+    return std::max(shortest, full_retry_after);
+}
+
 duration traffic_router::late_retry_after(const exchange& it) const
 {
     duration shortest = max_late_retry_after;
--- a/src/traffic/traffic_router.cpp
+++ b/src/traffic/traffic_router.cpp
@@ -23,6 +23,13 @@
     return out;
 }
 
+/// Returns a rate in thousandths of a request per second, for logs.
+long long to_milli(double per_second)
+{
+    constexpr double milli_per_unit = 1'000;
+    return std::llround(per_second * milli_per_unit);
+}
+
 } // namespace
 
 std::string_view to_string(attempt_stage stage)
@@ -145,6 +152,9 @@
         effects_.emplace_back(skip_answer{e.key});
         return;
     }
+    if (auto* target = target_of(state); target != nullptr) {
+        record_limit(*target, e.answer);
+    }
     state.running->is_answering = true;
     if (e.answer.states_not_run) {
         handle_refusal(e.key.exchange, state, e.answer);
@@ -234,6 +244,8 @@
 void traffic_router::on(fleet_changed& e)
 {
     routers_ = std::max(e.routers, 1U);
+    fleet_ = std::move(e.fleet);
+    targets_.update_limit_shares(fleet_, now_);
     for (auto& [pool, budget] : budgets_) {
         configure_budget(budget);
     }
@@ -270,6 +282,46 @@
     metrics_.add("failures_heard", e.failures.size());
 }
 
+void traffic_router::on(const limits_received& e)
+{
+    for (const auto& it : e.limits) {
+        if (auto* target = targets_.find(it.target)) {
+            apply_limit(*target, it.limit, it.stated_at, "router");
+        }
+    }
+    metrics_.add("limits_heard", e.limits.size());
+}
+
+/// Records the rate limit that the target states in an answer of its own, or that it states none.
+void traffic_router::record_limit(target_state& target, const target_answer& answer)
+{
+    const bool is_of_target = answer.is_signed || answer.states_not_run;
+    const bool is_unreadable = answer.states_limit && !answer.request_limit;
+    const bool is_known = answer.states_limit || target.limit() != nullptr;
+    if (answer.status == 421 || !is_of_target || is_unreadable || !is_known) {
+        return;
+    }
+    apply_limit(target, answer.request_limit, now_, "answer");
+    effects_.emplace_back(share_limit{target.key(), answer.request_limit});
+}
+
+void traffic_router::apply_limit(target_state& target, std::optional<request_rate> limit,
+                                 time_point stated_at, std::string_view source)
+{
+    if (!target.set_limit(limit, stated_at, fleet_, now_)) {
+        return;
+    }
+    const auto* in_force = target.limit();
+    metrics_.add("limit_changes");
+    log(log_event{"target_limit"}
+            .add("target", target.registration().id)
+            .add("milli_per_s", in_force == nullptr ? -1 : to_milli(in_force->limit().per_second))
+            .add("share_milli_per_s", in_force == nullptr ? -1 : to_milli(in_force->share().rate))
+            .add("senders", in_force == nullptr ? 0 : in_force->share().senders)
+            .add("source", source)
+            .add("age_ms", (now_ - stated_at).count() / 1'000));
+}
+
 void traffic_router::on(stop_announced& e)
 {
     stop_ = e;
--- a/src/wire/endivelatch.thrift
+++ b/src/wire/endivelatch.thrift
@@ -216,6 +216,13 @@
   2: i32 age_ms
 }
 
+/** The field `target` is a hash of the target's id. A negative limit means that it was lifted. */
+struct limit_item {
+  1: i32 target
+  2: i32 milli_per_s
+  3: i32 age_ms
+}
+
 struct gossip_packet {
   1: i32 kind
   2: string sender
@@ -235,6 +242,7 @@
   16: optional list<failure_item> failures
   17: optional list<crash_item> crashes
   18: optional list<clearance_item> clearances
+  19: optional list<limit_item> limits
 }
 
 struct link_hello {
--- a/src/wire/gossip_codec.cpp
+++ b/src/wire/gossip_codec.cpp
@@ -221,6 +221,32 @@
     return {part_key{to_unsigned(it.part)}, from_age_ms(it.age_ms)};
 }
 
+constexpr double milli_per_unit = 1'000;
+constexpr std::int32_t no_limit = -1;
+
+thrift_wire::limit_item to_struct(const limit_report& it)
+{
+    thrift_wire::limit_item out;
+    out.target = to_signed(it.target.value());
+    out.milli_per_s = no_limit;
+    if (it.limit) {
+        constexpr double largest = std::numeric_limits<std::int32_t>::max();
+        out.milli_per_s = static_cast<std::int32_t>(
+            std::clamp(it.limit->per_second * milli_per_unit, 0.0, largest));
+    }
+    out.age_ms = to_age_ms(it.age);
+    return out;
+}
+
+limit_report from_struct(const thrift_wire::limit_item& it)
+{
+    limit_report out{target_key{to_unsigned(it.target)}, {}, from_age_ms(it.age_ms)};
+    if (it.milli_per_s >= 0) {
+        out.limit = request_rate{it.milli_per_s / milli_per_unit};
+    }
+    return out;
+}
+
 thrift_wire::gossip_packet to_struct(const gossip_packet& it)
 {
     thrift_wire::gossip_packet out;
@@ -268,6 +294,10 @@
         out.clearances.push_back(to_struct(clearance));
     }
     out.__isset.clearances = !out.clearances.empty();
+    for (const auto& limit : it.limits) {
+        out.limits.push_back(to_struct(limit));
+    }
+    out.__isset.limits = !out.limits.empty();
     return out;
 }
 
@@ -305,6 +335,9 @@
     for (const auto& clearance : it.clearances) {
         out.crashes.clearances.push_back(from_struct(clearance));
     }
+    for (const auto& limit : it.limits) {
+        out.limits.push_back(from_struct(limit));
+    }
     return out;
 }
 
--- a/tests/entry/load_report_capacity_test.cpp
+++ b/tests/entry/load_report_capacity_test.cpp
@@ -27,6 +27,20 @@
     }
 }
 
+TEST(limit_report_capacity, keeps_packets_within_the_maximum_size)
+{
+    for (std::size_t filled = 0; filled < max_gossip_size; filled += 13) {
+        gossip_packet packet;
+        packet.from = router_id{std::string(filled, 'x')};
+        constexpr limit_report largest{
+            target_key{std::numeric_limits<std::uint32_t>::max() / 2},
+            request_rate{std::numeric_limits<std::int32_t>::max() / 1'000.0},
+            limit_table::lifetime};
+        packet.limits.assign(limit_report_capacity(encode(packet).size()), largest);
+        EXPECT_TRUE(packet.limits.empty() || encode(packet).size() <= max_gossip_size) << filled;
+    }
+}
+
 TEST(crash_news_capacity, keeps_packets_within_the_maximum_size)
 {
     for (std::size_t filled = 0; filled < max_gossip_size; filled += 13) {
--- a/tests/platform_adapter/messages_test.cpp
+++ b/tests/platform_adapter/messages_test.cpp
@@ -122,6 +122,24 @@
     EXPECT_EQ(response.headers, expected);
 }
 
+TEST(platform_messages, reads_the_rate_limit_of_a_target)
+{
+    const auto read = [](const std::string& value) {
+        response_head head;
+        head.status = 200;
+        head.headers = {{"Server-Limit", value}};
+        return protocol::read_answer(std::move(head));
+    };
+    EXPECT_EQ(read("2.5").request_limit, request_rate{2.5});
+    EXPECT_EQ(read("0").request_limit, request_rate{0});
+    EXPECT_TRUE(read("2.5").headers.empty());
+    for (const auto* value : {"", "-1", "abc", "2,5", "nan", "inf", "1e999"}) {
+        EXPECT_TRUE(read(value).states_limit) << value;
+        EXPECT_FALSE(read(value).request_limit) << value;
+    }
+    EXPECT_FALSE(protocol::read_answer({}).states_limit);
+}
+
 TEST(platform_messages, recognises_responses_to_requests_that_were_not_run)
 {
     response_head refusal_response;
--- a/tests/traffic/target_choice_test.cpp
+++ b/tests/traffic/target_choice_test.cpp
@@ -270,6 +270,37 @@
     }
 }
 
+// Limited targets hold less than their part. A bound relative to the mean of all sent prompts back
+// and forth between the others, which prefilled them again.
+TEST_F(choice_fixture, targets_without_a_limit_take_what_limited_ones_cannot)
+{
+    query.prompt = &prompt;
+    for (int n = 1; n <= target_count - 2; ++n) {
+        target(n).set_limit(request_rate{0}, clock.now(), {}, clock.now());
+    }
+    std::map<target_id, int> counts;
+    for (int i = 0; i < 40; ++i) {
+        prompt.parts[1].id = 100 + static_cast<std::uint64_t>(i % 10);
+        const auto result = choose_target(query, table, clock.now());
+        ASSERT_TRUE(std::holds_alternative<chosen_target>(result));
+        auto* chosen = std::get<chosen_target>(result).target;
+        chosen->add_request({clock.now(), 0, 0});
+        chosen->record_prompt(prompt.parts, clock.now());
+        ++counts[chosen->registration().id];
+    }
+    EXPECT_EQ(counts.size(), 2U);
+    EXPECT_DOUBLE_EQ(choose().mean_in_flight, 20);
+}
+
+TEST_F(choice_fixture, reports_that_all_targets_are_limited)
+{
+    for (int n = 1; n <= target_count; ++n) {
+        target(n).set_limit(request_rate{0}, clock.now(), {}, clock.now());
+    }
+    EXPECT_EQ(std::get<no_target_reason>(choose_target(query, table, clock.now())),
+              no_target_reason::all_limited);
+}
+
 TEST_F(choice_fixture, plain_requests_are_spread_over_free_slots)
 {
     std::map<target_id, int> counts;
--- a/tests/traffic/traffic_router_test.cpp
+++ b/tests/traffic/traffic_router_test.cpp
@@ -1,6 +1,7 @@
 #include "router_fixture.hpp"
 
 #include <algorithm>
+#include <map>
 
 namespace endivelatch {
 namespace {
@@ -427,6 +428,68 @@
     EXPECT_EQ(find<refuse_request>()->status, 502);
 }
 
+// Incident 2026-12-04-limits-of-targets-ignored: a limit that a target states in its answers.
+TEST_F(router_fixture, a_target_gets_no_more_than_its_stated_limit)
+{
+    constexpr double limit = 2;
+    std::map<target_id, int> sent;
+    for (int n = 0; n < 400; ++n) {
+        clock.advance(milliseconds{10});
+        arrive("safe");
+        const auto* attempt = find<start_attempt>();
+        if (attempt == nullptr) {
+            continue;
+        }
+        const auto key = attempt->key;
+        ++sent[attempt->parameters.expected_target];
+        auto answer = success();
+        answer.states_limit = true;
+        answer.request_limit = request_rate{limit};
+        dispatch(answer_begun{key, answer});
+        ASSERT_NE(find<share_limit>(), nullptr);
+        dispatch(answer_finished{key});
+    }
+    for (const auto& [id, count] : sent) {
+        EXPECT_LE(count, 1.5 * 4 * limit + 5) << id;
+        EXPECT_GE(count, 0.75 * 4 * limit) << id;
+    }
+    arrive("safe");
+    ASSERT_NE(find<refuse_request>(), nullptr);
+    EXPECT_EQ(find<refuse_request>()->status, 503);
+    EXPECT_TRUE(find<refuse_request>()->retry_after);
+}
+
+TEST_F(router_fixture, a_limit_ends_with_the_next_answer_without_it)
+{
+    const auto id = target_id{"t1"};
+    dispatch(limits_received{{{key_of(id), request_rate{1'000}, clock.now()}}});
+    for (int n = 0; n < 40; ++n) {
+        clock.advance(milliseconds{10});
+        arrive("safe");
+        const auto key = started();
+        const bool is_limited = find<start_attempt>()->parameters.expected_target == id;
+        dispatch(answer_begun{key, success()});
+        if (is_limited) {
+            ASSERT_NE(find<share_limit>(), nullptr);
+            EXPECT_FALSE(find<share_limit>()->limit);
+            dispatch(answer_finished{key});
+            return;
+        }
+        dispatch(answer_finished{key});
+    }
+    FAIL() << "the limited target was never chosen";
+}
+
+// An unreadable limit must not end a former one.
+TEST_F(router_fixture, an_unreadable_limit_changes_nothing)
+{
+    arrive("safe");
+    auto answer = success();
+    answer.states_limit = true;
+    dispatch(answer_begun{started(), answer});
+    EXPECT_EQ(find<share_limit>(), nullptr);
+}
+
 // A target may close the connection after the head of an answer without a length.
 TEST_F(router_fixture, a_stream_that_ends_before_its_first_event_is_not_complete)
 {
@@ -469,7 +532,7 @@
 TEST_F(router_fixture, retries_stay_within_the_share_of_this_router)
 {
     // Burst: 0.8 x 10 retries shared by two routers. Share: 0.2 x 0.8 retries per request.
-    dispatch(fleet_changed{2});
+    dispatch(fleet_changed{2, {}});
     int retries = 0;
     constexpr int requests = 36;
     for (int i = 0; i < requests; ++i) {
--- a/tests/traffic/traffic_simulation.hpp
+++ b/tests/traffic/traffic_simulation.hpp
@@ -84,6 +84,7 @@
     void on(refuse_request& e);
     void on(share_load&) {}
     void on(share_failure&) {}
+    void on(share_limit&) {}
     void on(write_log&) {}
 
     void end(exchange_number number, observed_request& it);
--- a/tests/wire/message_samples.hpp
+++ b/tests/wire/message_samples.hpp
@@ -112,6 +112,8 @@
     out.crashes.reports = {{crash_report_id{~0ULL}, target_key{0xFFFF'FFFF},
                             std::chrono::milliseconds{200}, std::chrono::seconds{600},
                             std::vector(max_parts_per_crash_report, part_key{~0ULL - 1})}};
+    out.limits = {{target_key{0xFFFF'FFFF}, request_rate{2.5}, std::chrono::seconds{60}},
+                  {target_key{1}, std::nullopt, std::chrono::milliseconds{5}}};
     out.crashes.clearances = {{part_key{~0ULL}, std::chrono::milliseconds{60}}};
     out.failures = {{target_key{7}, router_key{0xFFFF'FFFF}, std::chrono::milliseconds{250}},
                     {target_key{0xFFFF'FFFF}, router_key{1}, duration{}}};
