Do not take an answer without the id of its request as a refusal or success

Callers could be told "not run, try again" for a request that a target had run, or such a request could run at a second target: a refusal on a kept connection counted for the current request if it named none. The stand-ins' refusals lacked the id; they echo it now.

Refusals of earlier requests that do name their request were skipped already; a test shows it. Without the change a_refusal_without_the_id_of_its_request_does_not_count and a_success_without_the_id_of_its_request_is_not_forwarded fail.

--- a/src/traffic/traffic_router.cpp
+++ b/src/traffic/traffic_router.cpp
@@ -152,6 +152,11 @@
         effects_.emplace_back(skip_answer{e.key});
         return;
     }
+    if (e.answer.answered_attempt.empty()) {
+        // It may belong to an earlier request on the connection.
+        e.answer.is_signed = false;
+        e.answer.states_not_run = false;
+    }
     if (auto* target = target_of(state); target != nullptr) {
         record_limit(*target, e.answer);
     }
--- a/tests/standins/replica_standin.cpp
+++ b/tests/standins/replica_standin.cpp
@@ -32,6 +32,12 @@
             {"born", 1'700'000'000'000}};
 }
 
+/// Returns the headers of a refusal, with the id of the request if it has one.
+http_headers replica_standin::echo_headers(const std::string* attempt)
+{
+    return attempt == nullptr ? http_headers{} : http_headers{{"Endivelatch-Attempt-Id", *attempt}};
+}
+
 http_headers replica_standin::response_headers(const std::string& attempt) const
 {
     return {{"Endivelatch-Attempt-Id", attempt},
@@ -46,11 +52,13 @@
     const auto* attempt = find_header_ignoring_case(head.headers, "Endivelatch-Attempt-Id");
     const auto* expected = find_header_ignoring_case(head.headers, "Endivelatch-Expected-Instance");
     if (expected != nullptr && *expected != id_) {
-        server_.respond(id, 421, {}, {});
+        server_.respond(id, 421, echo_headers(attempt), {});
         return;
     }
     if (attempt == nullptr || fault_ == fault::reject) {
-        server_.respond(id, 503, {{"Endivelatch-Not-Executed", "1"}}, {});
+        auto headers = echo_headers(attempt);
+        headers.push_back({"Endivelatch-Not-Executed", "1"});
+        server_.respond(id, 503, headers, {});
         return;
     }
     ++runs_[*attempt];
--- a/tests/standins/replica_standin.hpp
+++ b/tests/standins/replica_standin.hpp
@@ -56,6 +56,7 @@
 private:
     void on_request(exchange_number id, const request_head& head, const std::string& body);
     void send_event(exchange_number id, int next);
+    static http_headers echo_headers(const std::string* attempt);
     http_headers response_headers(const std::string& attempt) const;
 
     request_server server_;
--- a/tests/traffic/router_fixture.hpp
+++ b/tests/traffic/router_fixture.hpp
@@ -136,11 +136,12 @@
         return answer;
     }
 
-    /// Returns an answer that reports the request as not run.
-    static target_answer not_run()
+    /// Returns an answer that reports the last request as not run.
+    target_answer not_run() const
     {
         target_answer answer;
         answer.status = 503;
+        answer.answered_attempt = caller_attempt_id{"r" + std::to_string(last_number)};
         answer.states_not_run = true;
         return answer;
     }
--- a/tests/traffic/traffic_router_test.cpp
+++ b/tests/traffic/traffic_router_test.cpp
@@ -130,6 +130,46 @@
     EXPECT_FALSE(find<refuse_request>()->retry_after);
 }
 
+// A faulty target writes an earlier refusal once more on a kept connection.
+TEST_F(router_fixture, a_refusal_without_the_id_of_its_request_does_not_count)
+{
+    arrive("unsafe");
+    auto refusal = not_run();
+    refusal.answered_attempt = caller_attempt_id{};
+    dispatch(answer_begun{started(), refusal});
+    EXPECT_EQ(find<start_attempt>(), nullptr);
+    ASSERT_NE(find<refuse_request>(), nullptr);
+    EXPECT_EQ(find<refuse_request>()->status, 502);
+}
+
+TEST_F(router_fixture, a_success_without_the_id_of_its_request_is_not_forwarded)
+{
+    arrive("unsafe");
+    auto answer = success();
+    answer.answered_attempt = caller_attempt_id{};
+    dispatch(answer_begun{started(), answer});
+    EXPECT_EQ(find<begin_answer>(), nullptr);
+    ASSERT_NE(find<refuse_request>(), nullptr);
+    EXPECT_EQ(find<refuse_request>()->status, 502);
+}
+
+// An earlier refusal that arrives first must not end the attempt; the expected answer follows.
+TEST_F(router_fixture, a_refusal_of_an_earlier_request_is_skipped)
+{
+    arrive("unsafe");
+    const auto key = started();
+    auto refusal = not_run();
+    refusal.answered_attempt = caller_attempt_id{"r0"};
+    dispatch(answer_begun{key, refusal});
+    EXPECT_NE(find<skip_answer>(), nullptr);
+    EXPECT_EQ(find<start_attempt>(), nullptr);
+    EXPECT_EQ(find<refuse_request>(), nullptr);
+    dispatch(answer_begun{key, success()});
+    dispatch(answer_finished{key});
+    ASSERT_NE(find<begin_answer>(), nullptr);
+    EXPECT_EQ(find<begin_answer>()->status, 200);
+}
+
 TEST_F(router_fixture, an_incomplete_unsafe_answer_is_not_retried)
 {
     arrive("unsafe");
--- a/tests/traffic/traffic_simulation.cpp
+++ b/tests/traffic/traffic_simulation.cpp
@@ -134,12 +134,11 @@
                 ++request.runs;
             }
             attempts_.erase(attempts_.begin() + static_cast<std::ptrdiff_t>(index));
-            dispatch(answer_begun{it.key, [] {
-                                      target_answer refusal;
-                                      refusal.status = 503;
-                                      refusal.states_not_run = true;
-                                      return refusal;
-                                  }()});
+            target_answer refusal;
+            refusal.status = 503;
+            refusal.answered_attempt = caller_attempt_id{it.request_id};
+            refusal.states_not_run = true;
+            dispatch(answer_begun{it.key, std::move(refusal)});
             return;
         }
         ++request.runs;
