Test streams after an error of the next target, answers cut in the head, bytes between requests

Reported by other operators; none of them can happen here, no logic changed: - A stream that has begun and broken off is aborted, or resumed, whatever status, signature and body the next target answers with; nothing of that answer reaches the caller. - An answer cut at any byte of its head has no head and fails. - A connection on which bytes arrive between two requests is closed.

--- a/tests/entry/connection_pool_test.cpp
+++ b/tests/entry/connection_pool_test.cpp
@@ -142,6 +142,36 @@
     EXPECT_EQ(exchange(closed).failed_stage, attempt_stage::not_sent);
 }
 
+// Callers saw a 200 with an empty body when a target stopped in the head and closed.
+TEST_F(pool_fixture, an_answer_that_ends_within_its_head_has_no_head)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: 2\r\n\r\n";
+    for (std::size_t n = 1; n < head.size(); ++n) {
+        scripted_target target{
+            loop, [&](int, const request_head&) {
+                return scripted_target::scripted_response{head.substr(0, n), true};
+            }};
+        const auto& result = exchange(target.address());
+        EXPECT_EQ(result.heads, 0) << n;
+        EXPECT_FALSE(result.is_complete) << n;
+        EXPECT_EQ(result.failed_stage, attempt_stage::answering) << n;
+    }
+}
+
+// Between two requests nothing is expected; what arrives belongs to neither.
+TEST_F(pool_fixture, a_refusal_sent_between_two_requests_answers_none)
+{
+    scripted_target target{loop, [](int, const request_head&) {
+                               return scripted_target::scripted_response{std::string{whole_answer}};
+                           }};
+    EXPECT_EQ(exchange(target.address()).body, "ok");
+    target.send_to_all("HTTP/1.1 503 Again\r\nContent-Length: 0\r\n\r\n");
+    run_for(loop, std::chrono::milliseconds{50});
+    const auto& second = exchange(target.address());
+    EXPECT_EQ(second.status, 200);
+    EXPECT_EQ(target.connections, 2);
+}
+
 TEST_F(pool_fixture, cancel_closes_the_connection)
 {
     scripted_target target{loop, [](int, const request_head&) {
--- a/tests/entry/scripted_target.hpp
+++ b/tests/entry/scripted_target.hpp
@@ -19,7 +19,7 @@
     /// Response to a complete request.
     struct scripted_response {
         std::string bytes;   ///< Sent unchanged.
-        bool closes = false; ///< Closes the connection without an answer if `bytes` is empty.
+        bool closes = false; ///< Closes the connection after the bytes.
     };
     using script = std::function<scripted_response(int request, const request_head&)>;
 
@@ -33,6 +33,15 @@
     /// Returns the bound address.
     endpoint address() const { return listener_.listening(); }
 
+    /// Sends bytes on all open connections.
+    void send_to_all(std::string_view bytes)
+    {
+        for (auto& [number, it] : connections_) {
+            it->stream->out() += bytes;
+            it->stream->flush_soon();
+        }
+    }
+
     /// Number of requests whose head was received.
     int requests = 0;
     /// Number of connections accepted.
@@ -85,6 +94,9 @@
             return;
         }
         conn.stream->flush_soon();
+        if (response.closes) {
+            loop_->post([&conn] { conn.stream->close(); });
+        }
     }
 
     event_loop* loop_;
--- a/tests/traffic/traffic_router_test.cpp
+++ b/tests/traffic/traffic_router_test.cpp
@@ -170,6 +170,54 @@
     EXPECT_EQ(find<begin_answer>()->status, 200);
 }
 
+// After a stream has begun, no status, head or text of another answer may follow in it.
+TEST_F(router_fixture, an_error_of_the_next_target_does_not_enter_a_stream_that_has_begun)
+{
+    for (const bool is_signed : {true, false}) {
+        for (const int status : {500, 503, 404, 200, 302}) {
+            if (status == 200 && is_signed) {
+                continue;
+            }
+            SCOPED_TRACE(std::to_string(status) + (is_signed ? " signed" : ""));
+            arrive("resumable");
+            const auto first = started();
+            dispatch(answer_begun{first, success()});
+            dispatch(answer_bytes{first, "id: 1\ndata: a\n\n"});
+            ASSERT_NE(find<send_bytes>(), nullptr);
+            dispatch(attempt_broken{first, attempt_stage::answering, "reset"});
+            const auto second = started();
+            ASSERT_NE(find<start_attempt>(), nullptr);
+            auto answer = success();
+            answer.status = status;
+            answer.is_signed = is_signed;
+            dispatch(answer_begun{second, answer});
+            EXPECT_EQ(find<send_bytes>(), nullptr);
+            EXPECT_EQ(find<begin_answer>(), nullptr);
+            EXPECT_EQ(find<end_answer>(), nullptr);
+            EXPECT_NE(find<abort_answer>(), nullptr);
+            dispatch(answer_bytes{second, "HTTP/1.1 500 error\n\n"});
+            EXPECT_EQ(find<send_bytes>(), nullptr);
+            dispatch(answer_finished{second});
+            EXPECT_EQ(find<end_answer>(), nullptr);
+        }
+    }
+}
+
+// The refused attempt has not run, so a third target may go on with the stream.
+TEST_F(router_fixture, a_refused_resumption_does_not_end_a_stream_as_complete)
+{
+    arrive("resumable");
+    const auto first = started();
+    dispatch(answer_begun{first, success()});
+    dispatch(answer_bytes{first, "id: 1\ndata: a\n\n"});
+    dispatch(attempt_broken{first, attempt_stage::answering, "reset"});
+    dispatch(answer_begun{started(), not_run()});
+    EXPECT_EQ(find<end_answer>(), nullptr);
+    EXPECT_EQ(find<begin_answer>(), nullptr);
+    ASSERT_NE(find<start_attempt>(), nullptr);
+    EXPECT_EQ(find<start_attempt>()->parameters.resume_after, 1U);
+}
+
 TEST_F(router_fixture, an_incomplete_unsafe_answer_is_not_retried)
 {
     arrive("unsafe");
