Send no new requests to targets that state in an answer that they leave (DRAIN)

It is decoded into target_answer::states_leaving, belongs to the target's incarnation, and is one of the obstacles that target_state names; an unsigned answer or one of another target proves nothing.

a_target_that_states_that_it_leaves_gets_no_new_requests and a_restarted_target_does_not_leave fail without it.

--- a/include/endivelatch/traffic/target_choice.hpp
+++ b/include/endivelatch/traffic/target_choice.hpp
@@ -44,7 +44,7 @@
     none_registered, ///< The pool has no target that accepts new requests.
     all_tried,       ///< Every target of the pool was already tried.
     all_full,        ///< Every untried target refused a request recently.
-    all_limited,     ///< As before, or this router has used its shares of their rate limits.
+    all_decline,     ///< As before, or it stated that it wants no request of this router now.
     all_late,        ///< The expected wait is too long at the best target.
 };
 
--- a/include/endivelatch/traffic/target_state.hpp
+++ b/include/endivelatch/traffic/target_state.hpp
@@ -42,6 +42,7 @@
 enum class target_obstacle {
     full,    ///< It refused a request within `target_state::full_duration`.
     limited, ///< This router has used its share of the target's rate limit.
+    leaving, ///< It stated in an answer that it is about to stop.
 };
 
 /// A request that this router sent to a target.
@@ -120,10 +121,15 @@
     /// Returns the rate limit in force, or null.
     const shared_limit* limit() const { return limit_ ? &*limit_ : nullptr; }
 
+    /// Records that the target stated in an answer that it is about to stop, which holds until its
+    /// next start. Its registration may say so later, or never. Returns whether this is new.
+    bool set_leaving();
+
     /// Returns why the target must not get a request of this router now, if it must not.
     std::optional<target_obstacle> obstacle(time_point now) const;
 
-    /// Returns the time until `obstacle` returns nothing, if no other obstacle arises.
+    /// Returns the time until `obstacle` returns nothing, if no other obstacle arises; at most
+    /// `shared_limit::max_wait`.
     duration obstacle_left(time_point now) const;
 
     /// Returns the number of requests of this router in flight.
@@ -227,6 +233,7 @@
     std::uint32_t own_in_flight_at_report_ = 0;
     time_point reported_at_{};
     time_point full_until_{};
+    bool has_stated_leaving_ = false;
     std::optional<shared_limit> limit_;
     time_point limit_stated_at_{}; ///< Time of the last statement, also of none.
     time_point ejected_until_{};
--- a/include/endivelatch/traffic/traffic_router.hpp
+++ b/include/endivelatch/traffic/traffic_router.hpp
@@ -208,7 +208,8 @@
     target_state* target_of(const exchange& it);
     duration retry_after_for(no_target_reason reason, const exchange& it) const;
     duration late_retry_after(const exchange& it) const;
-    duration limited_retry_after(const exchange& it) const;
+    duration decline_retry_after(const exchange& it) const;
+    void record_statements(target_state& target, const target_answer& answer);
     void record_limit(target_state& target, const target_answer& answer);
     void apply_limit(target_state& target, std::optional<request_rate> limit, time_point stated_at,
                      std::string_view source);
--- a/src/traffic/target_choice.cpp
+++ b/src/traffic/target_choice.cpp
@@ -180,6 +180,13 @@
     return fresh_bound_share - (fresh_bound_share - stale_bound_share) * staleness;
 }
 
+/// Returns whether the target stated that it wants no request of this router now.
+bool declines(const target_state& target, time_point now)
+{
+    const auto obstacle = target.obstacle(now);
+    return obstacle && *obstacle != target_obstacle::full;
+}
+
 /// Returns whether the target can accept one more request within its load bound.
 bool is_below_bound(const choice_query& query, const candidate& it, double mean, time_point now)
 {
@@ -329,8 +336,8 @@
         return "all_tried";
     case no_target_reason::all_full:
         return "all_full";
-    case no_target_reason::all_limited:
-        return "all_limited";
+    case no_target_reason::all_decline:
+        return "all_decline";
     case no_target_reason::all_late:
         return "all_late";
     }
@@ -355,14 +362,14 @@
 
     const candidate* best = nullptr;
     const candidate* fallback = nullptr; ///< Above its bound or ejected, but without obstacle.
-    bool is_any_limited = false;
+    bool is_any_declining = false;
     for (auto& it : all) {
         if (was_tried(query, it)) {
             continue;
         }
         query.prompt != nullptr ? estimate_engine_cost(query, it, now)
                                 : estimate_service_cost(query, it);
-        is_any_limited = is_any_limited || it.target->obstacle(now) == target_obstacle::limited;
+        is_any_declining = is_any_declining || declines(*it.target, now);
         if (is_below_bound(query, it, mean, now)) {
             best = best == nullptr || is_better(query, it, *best) ? &it : best;
         }
@@ -377,7 +384,7 @@
         best = fallback;
     }
     if (best == nullptr) {
-        return is_any_limited ? no_target_reason::all_limited : no_target_reason::all_full;
+        return is_any_declining ? no_target_reason::all_decline : no_target_reason::all_full;
     }
     const bool is_first = query.tried == nullptr || query.tried->empty();
     if (query.prompt != nullptr && is_first &&
--- a/src/traffic/target_state.cpp
+++ b/src/traffic/target_state.cpp
@@ -185,8 +185,16 @@
     }
 }
 
+bool target_state::set_leaving()
+{
+    return !std::exchange(has_stated_leaving_, true);
+}
+
 std::optional<target_obstacle> target_state::obstacle(time_point now) const
 {
+    if (has_stated_leaving_) {
+        return target_obstacle::leaving;
+    }
     if (limit_ && limit_->wait(now) > duration{}) {
         return target_obstacle::limited;
     }
@@ -198,6 +206,9 @@
 
 duration target_state::obstacle_left(time_point now) const
 {
+    if (has_stated_leaving_) {
+        return shared_limit::max_wait;
+    }
     const auto full_left = std::max(full_until_ - now, duration{});
     return limit_ ? std::max(full_left, limit_->wait(now)) : full_left;
 }
--- a/src/traffic/traffic_attempts.cpp
+++ b/src/traffic/traffic_attempts.cpp
@@ -54,8 +54,8 @@
     switch (reason) {
     case no_target_reason::all_late:
         return late_retry_after(it);
-    case no_target_reason::all_limited:
-        return limited_retry_after(it);
+    case no_target_reason::all_decline:
+        return decline_retry_after(it);
     case no_target_reason::none_registered:
     case no_target_reason::all_tried:
     case no_target_reason::all_full:
@@ -65,7 +65,7 @@
 }
 
 /// Returns the time until this router may send to one of the targets. It differs between routers.
-duration traffic_router::limited_retry_after(const exchange& it) const
+duration traffic_router::decline_retry_after(const exchange& it) const
 {
     duration shortest = max_late_retry_after;
     for (const auto* target : targets_.ready(it.pool)) {
--- a/src/traffic/traffic_router.cpp
+++ b/src/traffic/traffic_router.cpp
@@ -158,7 +158,7 @@
         e.answer.states_not_run = false;
     }
     if (auto* target = target_of(state); target != nullptr) {
-        record_limit(*target, e.answer);
+        record_statements(*target, e.answer);
     }
     state.running->is_answering = true;
     if (e.answer.states_not_run) {
@@ -297,13 +297,25 @@
     metrics_.add("limits_heard", e.limits.size());
 }
 
-/// Records the rate limit that the target states in an answer of its own, or that it states none.
+/// Records what the target states of itself in an answer. 421 comes from another target.
+void traffic_router::record_statements(target_state& target, const target_answer& answer)
+{
+    if (answer.status == 421 || (!answer.is_signed && !answer.states_not_run)) {
+        return;
+    }
+    if (answer.states_leaving && target.set_leaving()) {
+        metrics_.add("targets_stated_leaving");
+        log(log_event{"target_leaving"}.add("target", target.registration().id));
+    }
+    record_limit(target, answer);
+}
+
+/// Records the rate limit that the target states, or that it states none.
 void traffic_router::record_limit(target_state& target, const target_answer& answer)
 {
-    const bool is_of_target = answer.is_signed || answer.states_not_run;
     const bool is_unreadable = answer.states_limit && !answer.request_limit;
     const bool is_known = answer.states_limit || target.limit() != nullptr;
-    if (answer.status == 421 || !is_of_target || is_unreadable || !is_known) {
+    if (is_unreadable || !is_known) {
         return;
     }
     apply_limit(target, answer.request_limit, now_, "answer");
--- a/tests/platform_adapter/messages_test.cpp
+++ b/tests/platform_adapter/messages_test.cpp
@@ -140,6 +140,20 @@
     EXPECT_FALSE(protocol::read_answer({}).states_limit);
 }
 
+TEST(platform_messages, reads_that_a_target_leaves)
+{
+    const auto read = [](const std::string& value) {
+        response_head head;
+        head.status = 200;
+        head.headers = {{"Server-Leaving", value}};
+        return protocol::read_answer(std::move(head));
+    };
+    EXPECT_TRUE(read("1").states_leaving);
+    EXPECT_TRUE(read("1").headers.empty());
+    EXPECT_FALSE(read("0").states_leaving);
+    EXPECT_FALSE(read("").states_leaving);
+}
+
 TEST(platform_messages, recognises_responses_to_requests_that_were_not_run)
 {
     response_head refusal_response;
--- a/tests/traffic/target_choice_test.cpp
+++ b/tests/traffic/target_choice_test.cpp
@@ -292,13 +292,13 @@
     EXPECT_DOUBLE_EQ(choose().mean_in_flight, 20);
 }
 
-TEST_F(choice_fixture, reports_that_all_targets_are_limited)
+TEST_F(choice_fixture, reports_that_all_targets_decline)
 {
     for (int n = 1; n <= target_count; ++n) {
         target(n).set_limit(request_rate{0}, clock.now(), {}, clock.now());
     }
     EXPECT_EQ(std::get<no_target_reason>(choose_target(query, table, clock.now())),
-              no_target_reason::all_limited);
+              no_target_reason::all_decline);
 }
 
 TEST_F(choice_fixture, plain_requests_are_spread_over_free_slots)
--- a/tests/traffic/traffic_router_test.cpp
+++ b/tests/traffic/traffic_router_test.cpp
@@ -568,6 +568,57 @@
     FAIL() << "the limited target was never chosen";
 }
 
+// The registration of a target may say later that it leaves, or never.
+TEST_F(router_fixture, a_target_that_states_that_it_leaves_gets_no_new_requests)
+{
+    arrive("safe");
+    const auto leaving = find<start_attempt>()->parameters.expected_target;
+    auto answer = success();
+    answer.states_leaving = true;
+    const auto key = started();
+    dispatch(answer_begun{key, answer});
+    dispatch(answer_finished{key});
+    for (int n = 0; n < 50; ++n) {
+        clock.advance(milliseconds{100});
+        arrive("safe");
+        ASSERT_NE(find<start_attempt>(), nullptr);
+        EXPECT_NE(find<start_attempt>()->parameters.expected_target, leaving);
+    }
+}
+
+// The id may stay, but another start of the target has not stated that it leaves.
+TEST_F(router_fixture, a_restarted_target_does_not_leave)
+{
+    targets_changed only_one;
+    only_one.targets.push_back(make_target(1));
+    dispatch(targets_changed{only_one});
+    arrive("safe");
+    auto answer = success();
+    answer.states_leaving = true;
+    dispatch(answer_begun{started(), answer});
+    arrive("safe");
+    ASSERT_NE(find<refuse_request>(), nullptr);
+    EXPECT_EQ(find<refuse_request>()->status, 503);
+    only_one.targets.front().started = incarnation{2};
+    dispatch(targets_changed{only_one});
+    arrive("safe");
+    EXPECT_NE(find<start_attempt>(), nullptr);
+}
+
+// A statement in an answer of another target, or in an unsigned one, proves nothing.
+TEST_F(router_fixture, statements_of_other_targets_do_not_count)
+{
+    for (const int status : {421, 500}) {
+        arrive("unsafe");
+        auto answer = not_run();
+        answer.status = status;
+        answer.states_not_run = status == 421;
+        answer.states_leaving = true;
+        dispatch(answer_begun{started(), answer});
+        EXPECT_EQ(router.metrics().value("targets_stated_leaving"), 0) << status;
+    }
+}
+
 // An unreadable limit must not end a former one.
 TEST_F(router_fixture, an_unreadable_limit_changes_nothing)
 {
