--- a/include/endivelatch/traffic/request.hpp
+++ b/include/endivelatch/traffic/request.hpp
@@ -85,8 +85,9 @@
     bool is_signed = false;      ///< Carries a signature that proves it comes from the target.
     bool states_not_run = false; ///< The target reports that it did not run the request.
     std::optional<target_load> load;
-    bool states_leaving = false; ///< The target is about to stop and wants no new requests.
-    bool states_limit = false;   ///< States a rate limit, which may be unreadable.
+    bool states_leaving = false;   ///< The target is about to stop and wants no new requests.
+    std::optional<duration> pause; ///< The target wants no request of this router for so long.
+    bool states_limit = false;     ///< States a rate limit, which may be unreadable.
     std::optional<request_rate> request_limit; ///< Requests that the target takes from all routers.
     std::optional<std::uint64_t> length;       ///< Size of the body in bytes, if known in advance.
 
--- a/include/endivelatch/traffic/target_state.hpp
+++ b/include/endivelatch/traffic/target_state.hpp
@@ -43,6 +43,7 @@
     full,    ///< It refused a request within `target_state::full_duration`.
     limited, ///< This router has used its share of the target's rate limit.
     leaving, ///< It stated in an answer that it is about to stop.
+    paused,  ///< It asked this router to send nothing for some time.
 };
 
 /// A request that this router sent to a target.
@@ -125,6 +126,10 @@
     /// next start. Its registration may say so later, or never. Returns whether this is new.
     bool set_leaving();
 
+    /// Records that the target asked this router to send nothing for the given time, of which at
+    /// most `max_pause` counts.
+    void pause(duration length, time_point now);
+
     /// Returns why the target must not get a request of this router now, if it must not.
     std::optional<target_obstacle> obstacle(time_point now) const;
 
@@ -168,6 +173,8 @@
     /// Time for which a target counts as full after a refusal; its queue drains within a few
     /// service times.
     static constexpr duration full_duration{200'000};
+    /// Longest pause that a target may ask for.
+    static constexpr duration max_pause{60'000'000};
     /// Number of recent attempts considered for ejection.
     static constexpr std::size_t outcome_history_size = 8;
     /// Number of failures among them that ejects a target.
@@ -234,6 +241,7 @@
     time_point reported_at_{};
     time_point full_until_{};
     bool has_stated_leaving_ = false;
+    time_point paused_until_{};
     std::optional<shared_limit> limit_;
     time_point limit_stated_at_{}; ///< Time of the last statement, also of none.
     time_point ejected_until_{};
--- a/src/traffic/target_state.cpp
+++ b/src/traffic/target_state.cpp
@@ -190,11 +190,19 @@
     return !std::exchange(has_stated_leaving_, true);
 }
 
+void target_state::pause(duration length, time_point now)
+{
+    paused_until_ = std::max(paused_until_, now + std::min(length, max_pause));
+}
+
 std::optional<target_obstacle> target_state::obstacle(time_point now) const
 {
     if (has_stated_leaving_) {
         return target_obstacle::leaving;
     }
+    if (now < paused_until_) {
+        return target_obstacle::paused;
+    }
     if (limit_ && limit_->wait(now) > duration{}) {
         return target_obstacle::limited;
     }
@@ -209,8 +217,8 @@
     if (has_stated_leaving_) {
         return shared_limit::max_wait;
     }
-    const auto full_left = std::max(full_until_ - now, duration{});
-    return limit_ ? std::max(full_left, limit_->wait(now)) : full_left;
+    const auto left = std::max(std::max(full_until_, paused_until_) - now, duration{});
+    return limit_ ? std::max(left, limit_->wait(now)) : left;
 }
 
 void target_state::eject(time_point now)
--- a/src/traffic/traffic_router.cpp
+++ b/src/traffic/traffic_router.cpp
@@ -300,7 +300,17 @@
 /// Records what the target states of itself in an answer. 421 comes from another target.
 void traffic_router::record_statements(target_state& target, const target_answer& answer)
 {
-    if (answer.status == 421 || (!answer.is_signed && !answer.states_not_run)) {
+    if (answer.status == 421 || answer.answered_attempt.empty()) {
+        return;
+    }
+    if (answer.pause) {
+        target.pause(*answer.pause, now_);
+        metrics_.add("pauses");
+        log(log_event{"target_paused"}
+                .add("target", target.registration().id)
+                .add("ms", answer.pause->count() / 1'000));
+    }
+    if (!answer.is_signed && !answer.states_not_run) {
         return;
     }
     if (answer.states_leaving && target.set_leaving()) {
--- a/tests/platform_adapter/messages_test.cpp
+++ b/tests/platform_adapter/messages_test.cpp
@@ -140,6 +140,23 @@
     EXPECT_FALSE(protocol::read_answer({}).states_limit);
 }
 
+TEST(platform_messages, reads_how_long_a_target_wants_no_request)
+{
+    const auto read = [](const std::string& value, int status = 503) {
+        response_head head;
+        head.status = status;
+        head.headers = {{"Retry-After", value}};
+        return protocol::read_answer(std::move(head)).pause;
+    };
+    EXPECT_EQ(read("2"), std::chrono::seconds{2});
+    EXPECT_EQ(read("0.25"), std::chrono::milliseconds{250});
+    EXPECT_TRUE(read("1e300"));
+    EXPECT_FALSE(read("2", 200));
+    for (const auto* value : {"", "0", "-1", "nan", "soon", "Fri, 31 Dec 1999 23:59:59 GMT"}) {
+        EXPECT_FALSE(read(value)) << value;
+    }
+}
+
 TEST(platform_messages, reads_that_a_target_leaves)
 {
     const auto read = [](const std::string& value) {
--- a/tests/traffic/traffic_router_test.cpp
+++ b/tests/traffic/traffic_router_test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 
 namespace endivelatch {
 namespace {
@@ -568,6 +569,47 @@
     FAIL() << "the limited target was never chosen";
 }
 
+// Two requests per target are allowed until a pause is known; none may follow.
+TEST_F(router_fixture, a_target_that_asks_for_a_pause_gets_nothing_until_its_end)
+{
+    const auto pause = seconds{3};
+    std::map<target_id, time_point> paused_until;
+    std::set<target_id> resumed;
+    for (int n = 0; n < 100; ++n) {
+        clock.advance(milliseconds{60});
+        arrive("unsafe");
+        while (const auto* attempt = find<start_attempt>()) {
+            const auto id = attempt->parameters.expected_target;
+            const auto key = attempt->key;
+            const auto [known, is_new] = paused_until.try_emplace(id, clock.now() + pause);
+            EXPECT_TRUE(is_new || clock.now() >= known->second) << id;
+            if (!is_new) {
+                resumed.insert(id);
+            }
+            auto refusal = not_run();
+            refusal.pause = pause;
+            known->second = clock.now() + pause;
+            dispatch(answer_begun{key, refusal});
+        }
+        EXPECT_EQ(find<refuse_request>()->status, 503);
+    }
+    EXPECT_EQ(resumed.size(), 4U);
+}
+
+TEST_F(router_fixture, the_longest_pause_is_bounded)
+{
+    targets_changed only_one;
+    only_one.targets.push_back(make_target(1));
+    dispatch(targets_changed{only_one});
+    arrive("unsafe");
+    auto refusal = not_run();
+    refusal.pause = seconds{1'000'000};
+    dispatch(answer_begun{started(), refusal});
+    clock.advance(target_state::max_pause);
+    arrive("unsafe");
+    EXPECT_NE(find<start_attempt>(), nullptr);
+}
+
 // The registration of a target may say later that it leaves, or never.
 TEST_F(router_fixture, a_target_that_states_that_it_leaves_gets_no_new_requests)
 {
