--- a/tests/serve/serve_fleet.cpp
+++ b/tests/serve/serve_fleet.cpp
@@ -186,13 +186,28 @@
 
 outgoing_id serve_fleet::send(int router, const std::string& path, const std::string& attempt,
                               const std::string& key, const std::string& method)
+{
+    return send_with_headers(router, method + " " + path, attempt,
+                             "Authorization: Token " + key + "\r\n");
+}
+
+outgoing_id serve_fleet::send_prompt(int router, const std::string& attempt,
+                                     const std::string& parts)
+{
+    return send_with_headers(router, "POST /once/stream/x", attempt,
+                             "Authorization: Token key\r\nEndivelatch-Token-Usage: 1500,80\r\n"
+                             "Endivelatch-Prefix-Hash: " +
+                                 parts + "\r\n");
+}
+
+outgoing_id serve_fleet::send_with_headers(int router, const std::string& request_line,
+                                           const std::string& attempt, const std::string& headers)
 {
     outgoing_request request;
     request.to = frontend_endpoint(router);
-    request.bytes = method + " " + path +
-                    " HTTP/1.1\r\nHost: host.example\r\nEndivelatch-Attempt-Id: " + attempt +
-                    "\r\nEndivelatch-Deadline-Ms: 5000\r\nAuthorization: Token " + key +
-                    "\r\nContent-Length: 4\r\n\r\nbody";
+    request.bytes =
+        request_line + " HTTP/1.1\r\nHost: host.example\r\nEndivelatch-Attempt-Id: " + attempt +
+        "\r\nEndivelatch-Deadline-Ms: 5000\r\n" + headers + "Content-Length: 4\r\n\r\nbody";
     return client_connections.send(std::move(request));
 }
 
--- a/tests/serve/serve_fleet.hpp
+++ b/tests/serve/serve_fleet.hpp
@@ -54,6 +54,9 @@
     outgoing_id send(int router, const std::string& path, const std::string& attempt,
                      const std::string& key = "key", const std::string& method = "POST");
 
+    /// Sends a request for a stream whose prompt has the given parts, such as "a1:500,b2:500".
+    outgoing_id send_prompt(int router, const std::string& attempt, const std::string& parts);
+
     /// Sends a request and waits for the end of the response.
     client_response send_and_wait(int router, const std::string& path, const std::string& attempt,
                                   const std::string& key = "key");
@@ -100,6 +103,8 @@
     connection_pool client_connections;
 
 private:
+    outgoing_id send_with_headers(int router, const std::string& request_line,
+                                  const std::string& attempt, const std::string& headers);
     endpoint address(int router, int offset) const;
     endpoint store_address() const;
 
--- a/tests/standins/replica_standin.cpp
+++ b/tests/standins/replica_standin.cpp
@@ -40,9 +40,11 @@
 
 http_headers replica_standin::response_headers(const std::string& attempt) const
 {
-    return {{"Endivelatch-Attempt-Id", attempt},
-            {"Endivelatch-Response-Signature", "signed-by-" + id_},
-            {"Endivelatch-Instance-Load", "1,0,6"}};
+    http_headers headers{{"Endivelatch-Attempt-Id", attempt},
+                         {"Endivelatch-Response-Signature", "signed-by-" + id_},
+                         {"Endivelatch-Instance-Load", "1,0,6"}};
+    headers.insert(headers.end(), statements_.begin(), statements_.end());
+    return headers;
 }
 
 void replica_standin::on_request(exchange_number id, const request_head& head,
@@ -55,6 +57,10 @@
         server_.respond(id, 421, echo_headers(attempt), {});
         return;
     }
+    if (is_down_) {
+        server_.abort(id);
+        return;
+    }
     if (attempt == nullptr || fault_ == fault::reject) {
         auto headers = echo_headers(attempt);
         headers.push_back({"Endivelatch-Not-Executed", "1"});
@@ -62,6 +68,17 @@
         return;
     }
     ++runs_[*attempt];
+    const auto* parts = find_header_ignoring_case(head.headers, "Endivelatch-Prefix-Hash");
+    if (!deadly_part_.empty() && parts != nullptr &&
+        parts->find(deadly_part_ + ":") != std::string::npos) {
+        waiting_.insert(id);
+        delays_.after(event_interval, [this, id] {
+            if (waiting_.contains(id)) {
+                crash();
+            }
+        });
+        return;
+    }
     auto headers = response_headers(*attempt);
     const bool is_stream = head.target.find("/stream/") != std::string::npos;
     switch (fault_) {
@@ -99,6 +116,19 @@
     send_event(id, last == nullptr ? 1 : std::stoi(*last) + 1);
 }
 
+void replica_standin::crash()
+{
+    ++crashes_;
+    is_down_ = true;
+    for (const auto id : std::exchange(waiting_, {})) {
+        server_.abort(id);
+    }
+    for (const auto& [id, is_active] : std::exchange(streams_, {})) {
+        server_.abort(id);
+    }
+    delays_.after(restart_time, [this] { is_down_ = false; });
+}
+
 void replica_standin::send_event(exchange_number id, int next)
 {
     if (!streams_.contains(id)) {
--- a/tests/standins/replica_standin.hpp
+++ b/tests/standins/replica_standin.hpp
@@ -5,6 +5,7 @@
 #include "endivelatch/entry/request_server.hpp"
 
 #include <map>
+#include <set>
 #include <string>
 
 #include <nlohmann/json.hpp>
@@ -40,6 +41,16 @@
     /// Sets the fault for all following requests and events.
     void set_fault(fault f) { fault_ = f; }
 
+    /// Sets a prompt part that crashes the replica when it begins to answer. A crash ends all
+    /// connections with a request, and for `restart_time` those of new requests too.
+    void set_deadly_part(std::string part) { deadly_part_ = std::move(part); }
+
+    /// Returns how often the replica has crashed.
+    int crashes() const { return crashes_; }
+
+    /// Sets headers that are added to all answers.
+    void set_statements(http_headers headers) { statements_ = std::move(headers); }
+
     /// Returns the number of executions by attempt ID.
     const std::map<std::string, int>& runs() const { return runs_; }
 
@@ -52,10 +63,13 @@
     /// Number of events in a stream and the time between two of them.
     static constexpr int event_count = 5;
     static constexpr duration event_interval{20'000};
+    /// Time for which a crashed replica answers nothing.
+    static constexpr duration restart_time{2'000'000};
 
 private:
     void on_request(exchange_number id, const request_head& head, const std::string& body);
     void send_event(exchange_number id, int next);
+    void crash();
     static http_headers echo_headers(const std::string* attempt);
     http_headers response_headers(const std::string& attempt) const;
 
@@ -64,6 +78,11 @@
     std::string id_;
     std::string pool_;
     fault fault_ = fault::none;
+    std::string deadly_part_;
+    int crashes_ = 0;
+    bool is_down_ = false;
+    http_headers statements_;
+    std::set<exchange_number> waiting_; ///< Requests that crash the replica soon.
     std::map<std::string, int> runs_;
     std::map<exchange_number, bool> streams_;
     http_headers last_headers_;
