--- a/include/endivelatch/traffic/crash_evidence.hpp
+++ b/include/endivelatch/traffic/crash_evidence.hpp
@@ -78,7 +78,7 @@
     static constexpr duration max_refutation_delay{1'500'000};
     /// Interval at which a report or clearance is shared: a tenth of its age, within these bounds.
     static constexpr duration min_share_interval{100'000};
-    static constexpr duration max_share_interval{1'000'000};
+    static constexpr duration max_share_interval{300'000};
     /// Maximum number of reports, of reports with the same quarantined part, and of parts whose
     /// answers are remembered.
     static constexpr std::size_t max_reports = 64;
@@ -100,6 +100,7 @@
 
     /// Last begin of an answer to a prompt with the part.
     struct begun_part {
+        part_key part;
         time_point at{};
         bool is_clearance = false; ///< Cleared a suspected part; shared with other routers.
         time_point shared_at{};
@@ -109,6 +110,8 @@
     void remove_least_useful();
     void clear_part(part_key part, time_point at, bool was_shared);
     bool remove_cleared_parts(crash_record& record);
+    std::vector<crash_report> next_reports(time_point now);
+    std::vector<part_clearance> next_clearances(time_point now);
     void expire(time_point now);
     void update_quarantine();
     bool is_conclusive(part_key part) const;
--- a/src/traffic/crash_evidence.cpp
+++ b/src/traffic/crash_evidence.cpp
@@ -15,9 +15,9 @@
                       crash_evidence::max_share_interval);
 }
 
-/// Returns up to `max_count` entries that are due to be shared, those shared longest ago first.
+/// Returns up to `max_count` of the entries, those shared longest ago first.
 template <class Entry>
-std::vector<Entry*> select_due(std::vector<Entry*> entries, std::size_t max_count)
+std::vector<Entry*> select_first(std::vector<Entry*> entries, std::size_t max_count)
 {
     std::sort(entries.begin(), entries.end(),
               [](const auto* a, const auto* b) { return a->shared_at < b->shared_at; });
@@ -33,6 +33,7 @@
 {
     // Those that began least recently first, never begun ones before all.
     std::vector<std::pair<time_point, part_key>> suspects;
+    suspects.reserve(shared.size());
     for (const auto& it : shared) {
         const auto begun = begun_.find(part_key{it.id});
         suspects.emplace_back(begun == begun_.end() ? time_point::min() : begun->second.at,
@@ -120,7 +121,7 @@
 
 void crash_evidence::clear_part(part_key part, time_point at, bool was_shared)
 {
-    auto& begun = begun_[part];
+    auto& begun = begun_.try_emplace(part, begun_part{part, {}, false, {}}).first->second;
     if (begun.at >= at) {
         return;
     }
@@ -170,42 +171,45 @@
 
 crash_news crash_evidence::next_news(time_point now)
 {
-    crash_news news;
-    std::vector<crash_record*> records;
+    return {next_reports(now), next_clearances(now)};
+}
+
+std::vector<crash_report> crash_evidence::next_reports(time_point now)
+{
+    std::vector<crash_record*> due;
+    due.reserve(records_.size());
     for (auto& it : records_) {
         if (!it.is_refuted && now - it.shared_at >= share_interval(now - it.crashed_at)) {
-            records.push_back(&it);
+            due.push_back(&it);
         }
     }
-    for (auto* it : select_due(std::move(records), max_crash_reports_per_packet)) {
+    std::vector<crash_report> reports;
+    reports.reserve(max_crash_reports_per_packet);
+    for (auto* it : select_first(std::move(due), max_crash_reports_per_packet)) {
         it->shared_at = now;
         const auto age = std::max(now - it->crashed_at, duration{});
-        news.reports.push_back({it->id, it->target, it->crashed_at - it->sent_at, age, it->parts});
+        reports.push_back({it->id, it->target, it->crashed_at - it->sent_at, age, it->parts});
     }
-    struct due_clearance {
-        part_key part;
-        begun_part* begun;
-        time_point shared_at;
-    };
-    std::vector<due_clearance> due;
+    return reports;
+}
+
+std::vector<part_clearance> crash_evidence::next_clearances(time_point now)
+{
+    std::vector<begun_part*> due;
     for (auto& [part, it] : begun_) {
         const auto age = now - it.at;
-        if (it.is_clearance && age >= clearance_lifetime) {
-            it.is_clearance = false;
-        }
+        it.is_clearance = it.is_clearance && age < clearance_lifetime;
         if (it.is_clearance && now - it.shared_at >= share_interval(age)) {
-            due.push_back({part, &it, it.shared_at});
+            due.push_back(&it);
         }
     }
-    std::vector<due_clearance*> pointers;
-    for (auto& it : due) {
-        pointers.push_back(&it);
-    }
-    for (auto* it : select_due(std::move(pointers), max_clearances_per_packet)) {
-        it->begun->shared_at = now;
-        news.clearances.push_back({it->part, std::max(now - it->begun->at, duration{})});
+    std::vector<part_clearance> clearances;
+    clearances.reserve(max_clearances_per_packet);
+    for (auto* it : select_first(std::move(due), max_clearances_per_packet)) {
+        it->shared_at = now;
+        clearances.push_back({it->part, std::max(now - it->at, duration{})});
     }
-    return news;
+    return clearances;
 }
 
 std::optional<part_key> crash_evidence::find_quarantined(std::span<const prompt_part> shared,
--- a/tests/traffic/router_fixture.hpp
+++ b/tests/traffic/router_fixture.hpp
@@ -95,7 +95,8 @@
     }
 
     /// Dispatches a new request whose prompt has the given parts.
-    exchange_number arrive_with_parts(const std::string& host, std::vector<std::uint64_t> parts)
+    exchange_number arrive_with_parts(const std::string& host,
+                                      const std::vector<std::uint64_t>& parts)
     {
         caller_request request;
         const exchange_number number{++last_number};
