--- a/include/endivelatch/admission/retry_budget.hpp
+++ b/include/endivelatch/admission/retry_budget.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "endivelatch/base/request_rate.hpp"
 #include "endivelatch/base/time.hpp"
 
 #include <array>
 #include <cstdint>
+#include <optional>
 
 namespace endivelatch {
 
@@ -22,6 +24,9 @@
     /// Takes one retry from the budget; false if the budget is exhausted.
     bool try_retry(time_point now);
 
+    /// Returns the mean rate of requests within the window.
+    request_rate rate(time_point now);
+
     /// Changes the share.
     void set_share(double share) { share_ = share; }
 
@@ -44,6 +49,7 @@
     std::uint32_t burst_;
     std::array<slot, slot_count> slots_{};
     std::int64_t current_ = 0; ///< Index of the current slot since boot.
+    std::optional<time_point> first_request_at_;
 };
 
 } // namespace endivelatch
--- a/include/endivelatch/traffic/target_state.hpp
+++ b/include/endivelatch/traffic/target_state.hpp
@@ -111,9 +111,10 @@
     /// enough, since it may be cut off itself.
     double suspicion(time_point now) const;
 
-    /// Sets the rate limit that the target has stated, or removes it. Statements from before this
+    /// Sets the rate limit that the target has stated, or removes it. `demand` is the rate at which
+    /// this router would send to the target without it. Statements from before this
     /// incarnation or the last statement are ignored. Returns whether the limit has changed.
-    bool set_limit(std::optional<request_rate> limit, time_point stated_at,
+    bool set_limit(std::optional<request_rate> limit, time_point stated_at, request_rate demand,
                    const router_fleet& fleet, time_point now);
 
     /// Updates this router's share in the target's limit after a change of the live routers.
--- a/include/endivelatch/traffic/traffic_router.hpp
+++ b/include/endivelatch/traffic/traffic_router.hpp
@@ -206,6 +206,7 @@
     void set_timer(exchange_number number, exchange& it, time_point at);
     exchange_map::iterator find_exchange(const exchange_attempt& key);
     target_state* target_of(const exchange& it);
+    request_rate demand_per_target(const pool_id& pool);
     duration retry_after_for(no_target_reason reason, const exchange& it) const;
     duration late_retry_after(const exchange& it) const;
     duration decline_retry_after(const exchange& it) const;
--- a/src/admission/retry_budget.cpp
+++ b/src/admission/retry_budget.cpp
@@ -1,6 +1,7 @@
 #include "endivelatch/admission/retry_budget.hpp"
 
 #include <algorithm>
+#include <numeric>
 
 namespace endivelatch {
 
@@ -21,6 +22,19 @@
 void retry_budget::record_request(time_point now)
 {
     ++advance(now).requests;
+    first_request_at_ = first_request_at_.value_or(now);
+}
+
+request_rate retry_budget::rate(time_point now)
+{
+    constexpr duration slot_time = window / static_cast<std::int64_t>(slot_count);
+    advance(now);
+    const auto requests =
+        std::accumulate(slots_.begin(), slots_.end(), 0.0, [](double sum, const auto& it) {
+            return sum + static_cast<double>(it.requests);
+        });
+    const auto counted = std::clamp(now - first_request_at_.value_or(now), slot_time, window);
+    return {requests / std::chrono::duration<double>{counted}.count()};
 }
 
 bool retry_budget::try_retry(time_point now)
--- a/src/traffic/target_state.cpp
+++ b/src/traffic/target_state.cpp
@@ -159,7 +159,7 @@
 }
 
 bool target_state::set_limit(std::optional<request_rate> limit, time_point stated_at,
-                             const router_fleet& fleet, time_point now)
+                             request_rate demand, const router_fleet& fleet, time_point now)
 {
     if (stated_at < known_since_ || stated_at < limit_stated_at_) {
         return false;
@@ -170,10 +170,10 @@
         limit_.reset();
     }
     else if (limit_) {
-        limit_->set_limit(*limit, stated_at, fleet, now);
+        limit_->set_limit(*limit, stated_at, demand, now);
     }
     else {
-        limit_.emplace(*limit, stated_at, hash_, fleet, now);
+        limit_.emplace(*limit, stated_at, demand, hash_, fleet, now);
     }
     return limit != former;
 }
@@ -181,7 +181,7 @@
 void target_state::update_limit_share(const router_fleet& fleet, time_point now)
 {
     if (limit_) {
-        limit_->update_share(fleet, now);
+        limit_->set_fleet(fleet, now);
     }
 }
 
--- a/src/traffic/traffic_attempts.cpp
+++ b/src/traffic/traffic_attempts.cpp
@@ -49,6 +49,13 @@
     send_attempt(number, it, std::get<chosen_target>(result));
 }
 
+/// Returns the mean rate at which this router sends first attempts to a target of the pool.
+request_rate traffic_router::demand_per_target(const pool_id& pool)
+{
+    const auto targets = std::max<std::size_t>(targets_.ready(pool).size(), 1);
+    return {budget_of(pool).rate(now_).per_second / static_cast<double>(targets)};
+}
+
 duration traffic_router::retry_after_for(no_target_reason reason, const exchange& it) const
 {
     switch (reason) {
--- a/src/traffic/traffic_router.cpp
+++ b/src/traffic/traffic_router.cpp
@@ -335,7 +335,8 @@
 void traffic_router::apply_limit(target_state& target, std::optional<request_rate> limit,
                                  time_point stated_at, std::string_view source)
 {
-    if (!target.set_limit(limit, stated_at, fleet_, now_)) {
+    const auto demand = demand_per_target(target.registration().pool);
+    if (!target.set_limit(limit, stated_at, demand, fleet_, now_)) {
         return;
     }
     const auto* in_force = target.limit();
--- a/tests/traffic/shared_limit_test.cpp
+++ b/tests/traffic/shared_limit_test.cpp
@@ -14,6 +14,8 @@
 using std::chrono::seconds;
 
 constexpr std::uint64_t target_hash = 0x1234'5678'9abc'def0;
+/// More than any limit.
+constexpr request_rate pressing{100};
 
 router_fleet fleet_of(std::size_t self, std::size_t count)
 {
@@ -28,10 +30,13 @@
 
 /// Requests at one target from routers that have a limit.
 struct limited_fleet {
-    limited_fleet(std::size_t routers, request_rate limit)
+    /// `demand` is that of each router.
+    limited_fleet(std::size_t routers, request_rate limit, request_rate demand)
+        : usual_demand{demand}
     {
         for (std::size_t n = 0; n < routers; ++n) {
-            shares.emplace_back(limit, clock.now(), target_hash, fleet_of(n, routers), clock.now());
+            shares.emplace_back(limit, clock.now(), demand, target_hash, fleet_of(n, routers),
+                                clock.now());
         }
     }
 
@@ -42,7 +47,7 @@
         for (const auto ends_at = clock.now() + length; clock.now() < ends_at;) {
             clock.advance(step);
             for (auto& it : shares) {
-                it.set_limit(it.limit(), clock.now(), {}, clock.now());
+                it.set_limit(it.limit(), clock.now(), usual_demand, clock.now());
                 const bool wants = static_cast<double>(random.below(1'000'000)) < demand * 1e6;
                 if (wants && it.wait(clock.now()) == duration{}) {
                     it.record_send(clock.now());
@@ -68,6 +73,7 @@
     }
 
     manual_clock clock;
+    request_rate usual_demand;
     random_source random{11};
     std::vector<shared_limit> shares;
     std::vector<time_point> sent;
@@ -86,7 +92,7 @@
         for (const double per_second : {0.0, 0.3, 2.8, 26.0}) {
             SCOPED_TRACE(std::to_string(routers) + " routers, limit " + std::to_string(per_second));
             const request_rate limit{per_second};
-            limited_fleet it{routers, limit};
+            limited_fleet it{routers, limit, pressing};
             it.run(seconds{40}, 1);
             EXPECT_LE(static_cast<double>(it.most_in_window()), allowed(limit));
             EXPECT_GE(static_cast<double>(it.sent.size()), 0.75 * 40 * per_second);
@@ -99,7 +105,7 @@
 {
     for (const std::size_t routers : {8U, 295U}) {
         const request_rate limit{2.8};
-        limited_fleet it{routers, limit};
+        limited_fleet it{routers, limit, pressing};
         it.run(seconds{40}, 0);
         it.run(seconds{10}, 1);
         EXPECT_LE(static_cast<double>(it.most_in_window()), allowed(limit));
@@ -109,7 +115,7 @@
 // Only an answer shows that a limit was lifted.
 TEST(shared_limit, a_limit_of_zero_is_tried_now_and_then)
 {
-    limited_fleet it{8, request_rate{0}};
+    limited_fleet it{8, request_rate{0}, pressing};
     it.run(seconds{60}, 1);
     EXPECT_GE(it.sent.size(), 10U);
 }
@@ -117,7 +123,8 @@
 TEST(shared_limit, an_unconfirmed_limit_expires)
 {
     manual_clock clock;
-    shared_limit it{request_rate{0}, clock.now(), target_hash, fleet_of(0, 295), clock.now()};
+    shared_limit it{request_rate{0}, clock.now(),      pressing,
+                    target_hash,     fleet_of(0, 295), clock.now()};
     clock.advance(seconds{61});
     EXPECT_EQ(it.wait(clock.now()), duration{});
 }
@@ -125,9 +132,36 @@
 TEST(shared_limit, routers_that_leave_free_their_shares)
 {
     const request_rate limit{2.8};
-    EXPECT_LT(share_of(limit, target_hash, fleet_of(0, 8)).rate,
-              share_of(limit, target_hash, fleet_of(0, 4)).rate);
-    EXPECT_EQ(share_of(limit, target_hash, fleet_of(0, 295)).senders, 8U);
+    EXPECT_LT(share_of(limit, pressing, 0, 8).rate, share_of(limit, pressing, 0, 4).rate);
+    EXPECT_EQ(share_of(limit, pressing, 0, 295).senders, 8U);
+    EXPECT_EQ(share_of(limit, pressing, 8, 295).rate, 0);
+}
+
+// Load pattern of the large fleet: each router would send to a target once in a minute. Few senders
+// left most of the limit unused and noticed its end only after many seconds.
+TEST(shared_limit, many_routers_with_little_usual_demanduse_the_limit)
+{
+    constexpr std::size_t routers = 295;
+    const request_rate limit{2.8};
+    const request_rate demand{0.019};
+    limited_fleet it{routers, limit, demand};
+    it.run(seconds{40}, demand.per_second * 0.01);
+    const auto per_second = static_cast<double>(it.sent.size()) / 40;
+    EXPECT_GE(per_second, 0.5 * limit.per_second);
+    EXPECT_LE(per_second, limit.per_second);
+    EXPECT_LE(static_cast<double>(it.most_in_window()), allowed(limit));
+}
+
+// Load pattern: a plain service whose requests rise to three times the usual.
+TEST(shared_limit, a_sudden_usual_demandstays_within_the_limit)
+{
+    const request_rate limit{26};
+    const request_rate demand{0.58};
+    limited_fleet it{90, limit, demand};
+    it.run(seconds{20}, demand.per_second * 0.01);
+    it.run(seconds{10}, 3 * demand.per_second * 0.01);
+    EXPECT_LE(static_cast<double>(it.most_in_window()), allowed(limit));
+    EXPECT_GE(static_cast<double>(it.sent.size()), 0.5 * 30 * limit.per_second);
 }
 
 } // namespace
--- a/tests/traffic/target_choice_test.cpp
+++ b/tests/traffic/target_choice_test.cpp
@@ -34,6 +34,19 @@
 
     target_state& target(int n) { return *table.find(target_id{"t" + std::to_string(n)}); }
 
+    /// Lets a target state a limit of zero and sends it what may be sent at once.
+    void use_up_limit(int n)
+    {
+        auto& it = target(n);
+        it.set_limit(request_rate{0}, clock.now(), {}, {}, clock.now());
+        while (!it.obstacle(clock.now())) {
+            const sent_request sent{clock.now(), 0, 0};
+            it.add_request(sent);
+            it.record_no_answer(sent);
+            it.remove_request();
+        }
+    }
+
     static constexpr int target_count = 8;
 
     manual_clock clock;
@@ -276,7 +289,7 @@
 {
     query.prompt = &prompt;
     for (int n = 1; n <= target_count - 2; ++n) {
-        target(n).set_limit(request_rate{0}, clock.now(), {}, clock.now());
+        use_up_limit(n);
     }
     std::map<target_id, int> counts;
     for (int i = 0; i < 40; ++i) {
@@ -295,7 +308,7 @@
 TEST_F(choice_fixture, reports_that_all_targets_decline)
 {
     for (int n = 1; n <= target_count; ++n) {
-        target(n).set_limit(request_rate{0}, clock.now(), {}, clock.now());
+        use_up_limit(n);
     }
     EXPECT_EQ(std::get<no_target_reason>(choose_target(query, table, clock.now())),
               no_target_reason::all_decline);
