--- a/include/endivelatch/traffic/traffic_router.hpp
+++ b/include/endivelatch/traffic/traffic_router.hpp
@@ -180,6 +180,10 @@
     retry_budget& budget_of(const pool_id& pool);
     void configure_budget(retry_budget& budget) const;
     void record_service_time(const exchange& it);
+    request_rate demand_per_target(const pool_id& pool);
+    duration retry_after_for(no_target_reason reason, const exchange& it) const;
+    duration late_retry_after(const exchange& it) const;
+    duration decline_retry_after(const exchange& it) const;
 
     // Crashes of targets, in traffic_crashes.cpp.
     void record_possible_crash(const exchange& it);
@@ -188,13 +192,18 @@
     bool refuse_quarantined(exchange_number number, exchange& it);
     bool may_have_crashed_targets(const exchange& it) const;
 
-    static bool is_cut_stream(const exchange& it);
+    // Statements of targets about themselves, in traffic_statements.cpp.
+    void record_statements(target_state& target, const target_answer& answer);
+    void record_limit(target_state& target, const target_answer& answer);
+    void apply_limit(target_state& target, std::optional<request_rate> limit, time_point stated_at,
+                     std::string_view source);
 
     // Answers, in traffic_answers.cpp.
     void handle_refusal(exchange_number number, exchange& it, const target_answer& answer);
     void handle_failure(exchange_number number, exchange& it, target_answer&& answer);
     void handle_body_bytes(exchange_number number, exchange& it, std::string&& bytes);
     void handle_events(exchange_number number, exchange& it, std::string_view bytes);
+    static bool is_cut_stream(const exchange& it);
     void forward_bytes(exchange_number number, exchange& it, std::string&& bytes);
     void start_answer(exchange_number number, exchange& it, std::optional<std::uint64_t> length);
     void complete_answer(exchange_number number, exchange& it);
@@ -206,14 +215,6 @@
     void set_timer(exchange_number number, exchange& it, time_point at);
     exchange_map::iterator find_exchange(const exchange_attempt& key);
     target_state* target_of(const exchange& it);
-    request_rate demand_per_target(const pool_id& pool);
-    duration retry_after_for(no_target_reason reason, const exchange& it) const;
-    duration late_retry_after(const exchange& it) const;
-    duration decline_retry_after(const exchange& it) const;
-    void record_statements(target_state& target, const target_answer& answer);
-    void record_limit(target_state& target, const target_answer& answer);
-    void apply_limit(target_state& target, std::optional<request_rate> limit, time_point stated_at,
-                     std::string_view source);
     void log(log_event&& event) { effects_.emplace_back(write_log{std::move(event)}); }
 
     traffic_settings settings_;
--- a/src/entry/fleet_view.cpp
+++ b/src/entry/fleet_view.cpp
@@ -286,14 +286,16 @@
 /// Adds what is known of targets to a packet, as far as it fits.
 void fleet_view::add_target_reports(gossip_packet& packet)
 {
-    if (has_room_for_crash_news(encode(packet).size())) {
+    auto size = encode(packet).size();
+    if (has_room_for_crash_news(size)) {
         packet.crashes = callbacks_.crash_news_to_send();
+        size = packet.crashes == crash_news{} ? size : encode(packet).size();
     }
-    packet.limits =
-        limits_.next_reports(limit_report_capacity(encode(packet).size()), loop_->now());
-    packet.failures =
-        failures_.newest(failure_report_capacity(encode(packet).size()), loop_->now());
-    packet.loads = loads_.newest(load_report_capacity(encode(packet).size()), loop_->now());
+    packet.limits = limits_.next_reports(limit_report_capacity(size), loop_->now());
+    size = packet.limits.empty() ? size : encode(packet).size();
+    packet.failures = failures_.newest(failure_report_capacity(size), loop_->now());
+    size = packet.failures.empty() ? size : encode(packet).size();
+    packet.loads = loads_.newest(load_report_capacity(size), loop_->now());
 }
 
 void fleet_view::send_load_packets()
--- a/src/traffic/traffic_answers.cpp
+++ b/src/traffic/traffic_answers.cpp
@@ -106,6 +106,16 @@
     }
 }
 
+/// Returns whether the stream of the running attempt ended within an event or before the first one.
+bool traffic_router::is_cut_stream(const exchange& it)
+{
+    if (it.route.kind != request_kind::streaming || !it.answer || !it.answer->is_success()) {
+        return false;
+    }
+    const auto& events = it.running->events;
+    return events.has_partial_event() || (events.complete_events() == 0 && !it.last_event);
+}
+
 void traffic_router::forward_bytes(exchange_number number, exchange& it, std::string&& bytes)
 {
     if (!it.has_begun) {
