Review: large bodies sent at once exceed the memory of a router

Cause: bodies are held whole, twice, and their sum is not bounded. Change: case 5 of the review. Nothing is fixed.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+exec "$(dirname "$0")/../harness/run.sh" 5
