--- a/review/harness/process.cpp
+++ b/review/harness/process.cpp
@@ -1,7 +1,6 @@
 #include "process.hpp"
 
 #include <csignal>
-#include <fstream>
 #include <stdexcept>
 
 #include <fcntl.h>
@@ -67,17 +66,4 @@
     return exit_code_;
 }
 
-std::uint64_t process::memory() const
-{
-    if (pid_ <= 0) {
-        return 0;
-    }
-    // The second number is the resident size in pages.
-    std::ifstream in{"/proc/" + std::to_string(pid_) + "/statm"};
-    std::uint64_t total = 0;
-    std::uint64_t resident = 0;
-    in >> total >> resident;
-    return resident * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE));
-}
-
 } // namespace endivelatch::review
--- a/review/harness/process.hpp
+++ b/review/harness/process.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -29,9 +28,6 @@
     /// while it runs.
     int exit_code();
 
-    /// Returns the resident memory in bytes, or 0 if the process has ended.
-    std::uint64_t memory() const;
-
 private:
     pid_t pid_ = -1;
     int exit_code_ = -1;
