--- a/include/endivelatch/entry/entry_process.hpp
+++ b/include/endivelatch/entry/entry_process.hpp
@@ -136,7 +136,7 @@
     };
     std::map<exchange_number, copy_waiter> copy_waiters_;
     std::map<std::string, store_revision>
-        unreadable_revisions_; ///< Of invalid registrations that were logged.
+        unreadable_revisions_; ///< Of the invalid registrations, which were logged.
     bool was_ready_ = false;
     bool is_stopping_ = false;
     time_point stop_started_at_{};
--- a/include/endivelatch/entry/entry_process_life.hpp
+++ b/include/endivelatch/entry/entry_process_life.hpp
@@ -321,6 +321,7 @@
     targets_changed changed;
     changed.revision = mirror.revision().value();
     std::set<endpoint> addresses;
+    const auto logged_revisions = std::exchange(unreadable_revisions_, {});
     for (const auto* object : mirror.objects_in_use()) {
         auto target = Protocol::read_target(*object);
         if (has_value(target)) {
@@ -328,8 +329,9 @@
             changed.targets.push_back(std::get<registered_target>(std::move(target)));
             continue;
         }
-        if (std::exchange(unreadable_revisions_[object->name], object->revision) !=
-            object->revision) {
+        unreadable_revisions_[object->name] = object->revision;
+        const auto logged = logged_revisions.find(object->name);
+        if (logged == logged_revisions.end() || logged->second != object->revision) {
             write(log_event{"registration_unreadable"}
                       .add("target", object->name)
                       .add("reason", to_string(findings_of(target))));
--- a/include/endivelatch/mirror/object_mirror.hpp
+++ b/include/endivelatch/mirror/object_mirror.hpp
@@ -22,7 +22,7 @@
 struct mirrored_object {
     std::string name;
     store_revision revision;
-    std::string content; ///< The stored text.
+    std::string content; ///< The stored text, or `null` if it cannot be read.
 
     friend bool operator==(const mirrored_object&, const mirrored_object&) = default;
 };
--- a/src/mirror/object_mirror.cpp
+++ b/src/mirror/object_mirror.cpp
@@ -53,11 +53,14 @@
 
 mirror_effects object_mirror::handle_response(object_page&& page, time_point now)
 {
+    if (page.has_more && page.objects.empty()) {
+        return handle_call_failure(now); // Names no object from which to go on.
+    }
     record_response(now);
     list_revision_ = std::min(list_revision_.value_or(page.revision), page.revision);
     last_page_revision_ = std::max(last_page_revision_, page.revision);
     std::move(page.objects.begin(), page.objects.end(), std::back_inserter(listed_objects_));
-    if (page.has_more && !listed_objects_.empty()) {
+    if (page.has_more) {
         return list_from(listed_objects_.back().name);
     }
     mirror_effects effects;
--- a/tests/mirror/object_mirror_test.cpp
+++ b/tests/mirror/object_mirror_test.cpp
@@ -355,5 +355,18 @@
     EXPECT_EQ(mirror.revision(), store_revision{8});
 }
 
+// A page that says that more follow, but names no object, would be read again without end.
+TEST(object_mirror, a_page_without_names_that_is_not_the_last_is_read_again_later)
+{
+    manual_clock clock;
+    object_mirror mirror{mirror_settings{}, 1};
+    mirror.start(clock.now());
+    EXPECT_TRUE(
+        mirror.handle_response(object_page{{}, true, store_revision{5}}, clock.now()).empty());
+    EXPECT_FALSE(mirror.is_synced());
+    ASSERT_TRUE(mirror.next_timer());
+    EXPECT_GT(*mirror.next_timer(), clock.now());
+}
+
 } // namespace
 } // namespace endivelatch
--- a/tests/platform_adapter/objects_test.cpp
+++ b/tests/platform_adapter/objects_test.cpp
@@ -1,8 +1,11 @@
 #include "platform/protocol.hpp"
 
+#include "endivelatch/base/json_text.hpp"
+
 #include <string>
 
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 
 namespace endivelatch {
 namespace {
@@ -66,6 +69,74 @@
     EXPECT_LT(protocol::write_changes(value_of(changes)).size(), 1'000U);
 }
 
+// review/3: one entry that could not be parsed lost the whole page, so that no router got ready.
+TEST(platform_objects, an_unreadable_spec_names_nothing_and_the_others_hold)
+{
+    const std::string sound = R"({"Metadata":{"Name":"a","Revision":7},"Spec":{"x":1}})";
+    for (const std::string spec :
+         {"{\"Note\":\"\xff\xfe\"}", R"({"Note":"\ud800"})", "{\"Note\":1e400}", "{\"Note\":01}",
+          "nothing", "\"\x01\"", "{\"a\" 1}"}) {
+        const auto odd = R"({"Metadata":{"Name":"odd","Revision":8},"Spec":)" + spec + "}";
+        const auto page = protocol::read_page("{\"Items\":[" + sound + "," + odd +
+                                              "],\"HasMore\":true,\"At\":9}");
+        ASSERT_TRUE(has_value(page)) << spec;
+        ASSERT_EQ(value_of(page).objects.size(), 2U) << spec;
+        EXPECT_EQ(value_of(page).objects[0].content, R"({"x":1})");
+        EXPECT_EQ(value_of(page).objects[1].name, "odd"); // The next page follows after it.
+        EXPECT_FALSE(has_value(protocol::read_target(value_of(page).objects[1])));
+        EXPECT_TRUE(value_of(page).has_more);
+        EXPECT_EQ(value_of(page).revision, store_revision{9});
+        const auto copy = protocol::write_page(value_of(page));
+        EXPECT_FALSE(parse_json(copy).is_discarded()) << copy;
+
+        const auto changes = protocol::read_changes(
+            R"({"events":[{"Deleted":false,"Object":)" + odd + R"(},{"Deleted":true,"Object":)" +
+            odd + R"(},{"Deleted":false,"Object":)" + sound + R"(}],"At":9})");
+        ASSERT_TRUE(has_value(changes)) << spec;
+        ASSERT_EQ(value_of(changes).changes.size(), 3U) << spec;
+        EXPECT_FALSE(has_value(protocol::read_target(value_of(changes).changes[0].object)));
+        EXPECT_TRUE(value_of(changes).changes[1].is_deleted);
+        EXPECT_EQ(value_of(changes).changes[2].object.content, R"({"x":1})");
+    }
+}
+
+// An entry whose metadata cannot be read has no name; the others hold.
+TEST(platform_objects, unreadable_metadata_loses_only_its_item)
+{
+    const auto page = protocol::read_page(
+        "{\"Items\":[{\"Metadata\":{\"Name\":\"\xff\",\"Revision\":8}},{\"Metadata\":1e400},"
+        R"({"Metadata":{"Name":"a","Revision":7},"Status":1e400,"Spec":{}}],"At":9})");
+    ASSERT_TRUE(has_value(page));
+    ASSERT_EQ(value_of(page).objects.size(), 1U);
+    EXPECT_EQ(value_of(page).objects[0].content, "{}");
+}
+
+TEST(platform_objects, brackets_and_quotes_without_counterpart_are_not_a_page)
+{
+    for (const char* body :
+         {R"({"Items":[{],"At":9})", R"({"Items":["],"At":9})", R"({"Items":[}],"At":9})",
+          R"({"Items":[1],"At":9)", R"({"Items":{},"At":9})", R"({"At" 9})"}) {
+        EXPECT_FALSE(has_value(protocol::read_page(body))) << body;
+    }
+}
+
+TEST(platform_objects, names_are_encoded_in_calls)
+{
+    EXPECT_EQ(protocol::list_call(object_kind::targets, {"i 7&a=\xc3\xa9", false}).target,
+              "/-/objects/servers?After=i%207%26a%3D%C3%A9");
+}
+
+TEST(platform_objects, numbers_out_of_range_make_a_registration_unreadable)
+{
+    for (const std::string fields :
+         {R"("Address":"10.0.0.9:99999","Slots":6)", R"("Address":"10.0.0.9:80","Slots":-1)",
+          R"("Address":"10.0.0.9:80","Slots":1e300)",
+          R"("Address":"10.0.0.9:80","Slots":4294967296)"}) {
+        const auto spec = R"({"Service":"s","Zone":"z","State":"ready",)" + fields + "}";
+        EXPECT_FALSE(has_value(protocol::read_target({"i-7", store_revision{1}, spec}))) << spec;
+    }
+}
+
 TEST(platform_objects, a_configuration_nested_too_deeply_is_not_read)
 {
     const auto spec = R"({"Version":1,"Other":)" + nested_arrays(200'000) + "}";
