--- a/include/endivelatch/membership/crash_report.hpp
+++ b/include/endivelatch/membership/crash_report.hpp
@@ -3,6 +3,7 @@
 #include "endivelatch/base/ids.hpp"
 #include "endivelatch/base/time.hpp"
 #include "endivelatch/membership/load_table.hpp"
+#include "endivelatch/membership/part_filter.hpp"
 
 #include <cstdint>
 #include <string>
@@ -11,8 +12,6 @@
 /// Crashes of targets and the prompt parts that may have caused them, as shared between routers.
 namespace endivelatch {
 
-/// Identifies a prompt part.
-using part_key = number_id<struct part_key_tag>;
 /// Identifies a crash report by a hash of the request and its attempt.
 using crash_report_id = number_id<struct crash_report_tag>;
 
@@ -26,6 +25,7 @@
     duration held{};             ///< Time from the sending of the request to the crash.
     duration age{};              ///< Time since the crash.
     std::vector<part_key> parts; ///< Parts of the prompt that may have caused the crash.
+    part_filter all_parts; ///< All such parts, if they are more than a report names; else empty.
 
     friend bool operator==(const crash_report&, const crash_report&) = default;
 };
--- a/include/endivelatch/membership/packet_size.hpp
+++ b/include/endivelatch/membership/packet_size.hpp
@@ -26,9 +26,9 @@
 /// Maximum size of a failure report in bytes: target, reporter and age with their field headers.
 inline constexpr std::size_t failure_report_size = 20;
 
-/// Maximum encoded size of a crash report with the maximum number of parts, including its share of
-/// the list's header, and of a clearance.
-inline constexpr std::size_t crash_report_size = 130;
+/// Maximum encoded size of a crash report with the maximum number of parts and a filter, including
+/// its share of the list's header, and of a clearance.
+inline constexpr std::size_t crash_report_size = 132 + part_filter::size;
 inline constexpr std::size_t clearance_size = 24;
 
 /// Maximum size of a limit report in bytes: target, limit and age with their field headers.
--- a/include/endivelatch/traffic/crash_evidence.hpp
+++ b/include/endivelatch/traffic/crash_evidence.hpp
@@ -18,6 +18,11 @@
 /// many prompts share are therefore cleared soon, even if they are present at each crash. Parts
 /// that were only seen together are quarantined together, so that a prompt with one of them shows
 /// which one it is. Routers share reports of crashes and clearances.
+///
+/// The router that saw a crash holds all parts of the prompt that may have caused it. A report has
+/// room for few of them, so it names those that were also present at the most other crashes, in
+/// whatever place of the prompt. For that, a report of a longer prompt also carries a filter of all
+/// its parts. Only parts that reports name count for a quarantine, as a filter may contain others.
 class crash_evidence {
 public:
     /// Records that a target closed the connection of a request before its answer began.
@@ -84,6 +89,10 @@
     static constexpr std::size_t max_reports = 64;
     static constexpr std::size_t max_reports_per_part = 8;
     static constexpr std::size_t max_begun_parts = 4'096;
+    /// Maximum number of parts of a prompt that are held, those that began least recently first,
+    /// and of parts that are held of a prompt that another router has reported.
+    static constexpr std::size_t max_suspects = 512;
+    static constexpr std::size_t max_named_suspects = 64;
 
 private:
     struct crash_record {
@@ -91,11 +100,15 @@
         target_key target;
         time_point sent_at{};
         time_point crashed_at{};
-        std::vector<part_key> parts;
+        std::vector<part_key> parts; ///< Sorted.
+        part_filter all_parts;       ///< Of a report that does not name all its parts; else empty.
         bool is_refuted = false;
-        time_point shared_at{};
+        time_point shared_at{};        ///< Zero if not shared with the parts to name at present.
+        std::vector<part_key> named{}; ///< Parts to name when it is shared.
+        bool is_shared_first = false;  ///< Names a part that was present at other crashes.
 
         bool may_be_due_to(part_key part) const;
+        bool has_suspects() const { return !parts.empty() || !all_parts.empty(); }
     };
 
     /// Last begin of an answer to a prompt with the part.
@@ -104,12 +117,20 @@
         time_point at{};
         bool is_clearance = false; ///< Cleared a suspected part; shared with other routers.
         time_point shared_at{};
+        bool is_shared_first = false;
     };
 
     void add(crash_record&& record, time_point now);
+    void update(crash_record& known, const crash_report& news);
     void remove_least_useful();
-    void clear_part(part_key part, time_point at, bool was_shared);
+    void limit_begun_parts(time_point now);
+    bool note_begin(part_key part, time_point at, bool was_shared);
+    void remove_cleared_parts();
     bool remove_cleared_parts(crash_record& record);
+    bool was_cleared(part_key part, time_point since) const;
+    void update_named_parts();
+    std::vector<part_key> select_parts(const crash_record& record) const;
+    std::size_t count_other_crashes(const crash_record& record, part_key part) const;
     std::vector<crash_report> next_reports(time_point now);
     std::vector<part_clearance> next_clearances(time_point now);
     void expire(time_point now);
--- a/src/wire/endivelatch.thrift
+++ b/src/wire/endivelatch.thrift
@@ -208,6 +208,7 @@
   3: i32 held_ms
   4: i32 age_ms
   5: list<i64> parts
+  6: optional binary all_parts
 }
 
 /** An answer to a prompt with the part has begun. */
--- a/src/wire/gossip_codec.cpp
+++ b/src/wire/gossip_codec.cpp
@@ -192,6 +192,8 @@
     for (const auto part : it.parts) {
         out.parts.push_back(to_signed(part.value()));
     }
+    out.all_parts = it.all_parts.bytes();
+    out.__isset.all_parts = !out.all_parts.empty();
     return out;
 }
 
@@ -201,7 +203,8 @@
                      target_key{to_unsigned(it.target)},
                      from_age_ms(it.held_ms),
                      from_age_ms(it.age_ms),
-                     {}};
+                     {},
+                     part_filter::read(it.all_parts)};
     for (const auto part : it.parts) {
         out.parts.emplace_back(to_unsigned(part));
     }
--- a/tests/entry/load_report_capacity_test.cpp
+++ b/tests/entry/load_report_capacity_test.cpp
@@ -50,10 +50,14 @@
             continue;
         }
         constexpr auto largest = std::numeric_limits<std::uint64_t>::max() / 2;
+        part_filter filter;
+        filter.add(part_key{largest});
         const crash_report report{crash_report_id{largest},
                                   target_key{std::numeric_limits<std::uint32_t>::max() / 2},
-                                  crash_evidence::report_lifetime, crash_evidence::report_lifetime,
-                                  std::vector(max_parts_per_crash_report, part_key{largest})};
+                                  crash_evidence::report_lifetime,
+                                  crash_evidence::report_lifetime,
+                                  std::vector(max_parts_per_crash_report, part_key{largest}),
+                                  filter};
         packet.crashes.reports.assign(max_crash_reports_per_packet, report);
         packet.crashes.clearances.assign(max_clearances_per_packet,
                                          {part_key{largest}, crash_evidence::clearance_lifetime});
--- a/tests/traffic/crash_evidence_test.cpp
+++ b/tests/traffic/crash_evidence_test.cpp
@@ -160,16 +160,101 @@
     EXPECT_TRUE(is_quarantined({deadly}));
 }
 
-/// Load pattern of a fleet: requests with common parts come at any router, a share of them has a
-/// deadly part. Routers exchange news with two others every 200 ms.
+/// Returns the parts of a chat with `count` turns, which no other chat has.
+std::vector<prompt_part> chat_parts(std::uint64_t chat, std::size_t count)
+{
+    constexpr std::uint64_t first_id = 1'000'000'000;
+    constexpr std::uint64_t ids_per_chat = 1'000;
+    std::vector<prompt_part> parts;
+    for (std::size_t n = 0; n < count; ++n) {
+        parts.push_back({first_id + chat * ids_per_chat + n, 200});
+    }
+    return parts;
+}
+
+// review/5: the deadly part stood behind more new parts than a report names, so that no report
+// named it.
+TEST_F(crash_evidence_test, a_part_behind_many_new_ones_is_quarantined_wherever_it_stands)
+{
+    for (const std::size_t turns : {9U, 60U, 199U}) {
+        for (const std::size_t place : {std::size_t{0}, turns / 2, turns}) {
+            evidence = {};
+            std::vector<prompt_part> last;
+            for (std::uint32_t n = 1; n <= 3; ++n) {
+                last = chat_parts(n, turns);
+                last.insert(last.begin() + static_cast<std::ptrdiff_t>(place), deadly);
+                crash(n, last);
+            }
+            EXPECT_TRUE(is_quarantined(last)) << turns << " " << place;
+            EXPECT_FALSE(is_quarantined(chat_parts(3, turns))) << turns << " " << place;
+        }
+    }
+}
+
+// Five routers see one crash each, so that none can tell by itself what the prompts share.
+TEST_F(crash_evidence_test, routers_that_saw_one_crash_each_find_the_part_that_long_prompts_share)
+{
+    for (const std::size_t turns : {9U, 60U, 199U}) {
+        std::vector<crash_evidence> routers(6); // The last one sees no crash.
+        for (std::uint32_t n = 1; n <= 5; ++n) {
+            auto parts = chat_parts(n, turns);
+            parts.insert(parts.end() - n, deadly);
+            const auto sent_at = clock.now();
+            clock.advance(milliseconds{200});
+            routers[n - 1].record_crash(crash_report_id{n}, target_key{n}, parts, sent_at,
+                                        clock.now());
+        }
+        for (int round = 0; round < 4; ++round) {
+            clock.advance(crash_evidence::max_share_interval);
+            for (auto& from : routers) {
+                const auto news = from.next_news(clock.now());
+                for (auto& to : routers) {
+                    to.merge(news, clock.now());
+                }
+            }
+        }
+        for (auto& it : routers) {
+            EXPECT_TRUE(it.find_quarantined(std::vector{deadly}, clock.now())) << turns;
+            EXPECT_EQ(it.quarantined_count(), 1U) << turns;
+        }
+    }
+}
+
+// Many parts of other prompts would push out that answers to a common one have just begun, and a
+// sound part would be suspected.
+TEST_F(crash_evidence_test, long_prompts_do_not_push_out_the_parts_that_began_last)
+{
+    for (std::uint64_t n = 0; n < 100; ++n) {
+        clock.advance(milliseconds{10});
+        evidence.record_begin(std::vector{common}, clock.now());
+        evidence.record_begin(chat_parts(n, 200), clock.now());
+        auto copy = evidence;
+        copy.record_crash(crash_report_id{1}, target_key{1}, std::vector{common, deadly},
+                          clock.now(), clock.now());
+        const auto news = copy.next_news(clock.now());
+        ASSERT_EQ(news.reports.size(), 1U);
+        EXPECT_EQ(news.reports.front().parts, std::vector{part_key{deadly.id}});
+    }
+}
+
+/// Load of a fleet: requests with common parts come at any router, a share of them has a deadly
+/// part. Routers exchange news with two others every 200 ms.
+struct fleet_load {
+    std::size_t routers = 8;
+    double requests_per_second = 20;
+    double deadly_share = 0.05;
+    bool has_restart = false;   ///< Half of the routers restart at 12 s.
+    std::size_t chat_turns = 0; ///< Parts of each prompt that no other has; the deadly one is among
+                                ///< them.
+};
+
 struct fleet_result {
     int crashes = 0;
     int crashes_late = 0;  ///< By requests sent 3 s or more after the fifth crash.
     int sound_refused = 0; ///< Refused without the deadly part.
 };
 
-fleet_result run_fleet(std::size_t routers, double requests_per_second, double deadly_share,
-                       bool has_restart)
+fleet_result run_fleet(const fleet_load& load)
 {
     struct running {
         time_point ends_at;
@@ -178,6 +263,7 @@
         std::vector<prompt_part> parts;
         time_point sent_at;
     };
+    const auto routers = load.routers;
     fleet_result result;
     manual_clock clock;
     random_source random{7};
@@ -185,12 +271,13 @@
     std::vector<running> all;
     std::optional<time_point> fifth;
     std::uint64_t last_id = 0;
+    std::uint64_t last_chat = 0;
     auto next_exchange = clock.now();
     const auto ends_at = clock.now() + seconds{20};
     const auto restart_at = clock.now() + seconds{12};
-    bool has_restarted = !has_restart;
+    bool has_restarted = !load.has_restart;
     const auto gap = std::chrono::duration_cast<duration>(
-        std::chrono::duration<double>{1 / requests_per_second});
+        std::chrono::duration<double>{1 / load.requests_per_second});
     while (clock.now() < ends_at) {
         clock.advance(gap);
         if (!has_restarted && clock.now() >= restart_at) {
@@ -236,9 +323,12 @@
         std::erase_if(all, [&](const auto& it) { return it.ends_at <= clock.now(); });
         const auto router = random.below(routers);
         std::vector<prompt_part> parts{{1'000 + random.below(5), 1'000}};
-        const bool is_deadly = static_cast<double>(random.below(1'000)) < deadly_share * 1'000;
+        const bool is_deadly = static_cast<double>(random.below(1'000)) < load.deadly_share * 1'000;
+        const auto chat = chat_parts(++last_chat, load.chat_turns);
+        parts.insert(parts.end(), chat.begin(), chat.end());
         if (is_deadly) {
-            parts.push_back(deadly);
+            const auto place = 1 + random.below(parts.size());
+            parts.insert(parts.begin() + static_cast<std::ptrdiff_t>(place), deadly);
         }
         parts.push_back({2'000 + random.below(50), 1'000});
         if (fleet[router].find_quarantined(parts, clock.now())) {
@@ -256,7 +346,7 @@
 {
     for (const std::size_t routers : {8U, 85U, 295U}) {
         const auto rate = 20.0 * static_cast<double>(routers) / 8;
-        const auto result = run_fleet(routers, rate, 0.05, false);
+        const auto result = run_fleet({routers, rate});
         SCOPED_TRACE(routers);
         RecordProperty("crashes_" + std::to_string(routers), result.crashes);
         EXPECT_LE(result.crashes_late, 3);
@@ -266,9 +356,22 @@
 
 TEST(crash_evidence_fleet, restarted_routers_learn_from_the_others)
 {
-    const auto result = run_fleet(8, 20, 0.3, true);
+    const auto result = run_fleet({8, 20, 0.3, true});
     EXPECT_LE(result.crashes_late, 3);
 }
 
+// review/5, in a fleet: chats of some turns, no two alike.
+TEST(crash_evidence_fleet, few_targets_crash_with_long_prompts)
+{
+    for (const auto& [routers, turns] :
+         {std::pair{8U, 10U}, std::pair{8U, 200U}, std::pair{85U, 30U}, std::pair{295U, 10U}}) {
+        const auto rate = 20.0 * static_cast<double>(routers) / 8;
+        const auto result = run_fleet({routers, rate, 0.05, false, turns});
+        SCOPED_TRACE(std::to_string(routers) + " routers, " + std::to_string(turns) + " turns");
+        EXPECT_LE(result.crashes_late, 3);
+        EXPECT_LE(result.sound_refused, static_cast<int>(rate * 20 / 20));
+    }
+}
+
 } // namespace
 } // namespace endivelatch
--- a/tests/traffic/traffic_crashes_test.cpp
+++ b/tests/traffic/traffic_crashes_test.cpp
@@ -62,7 +62,8 @@
                                 target_key{n},
                                 milliseconds{100},
                                 milliseconds{1'000 * (4 - n)},
-                                {part_key{2}}});
+                                {part_key{2}},
+                                {}});
     }
     dispatch(crash_news_received{news});
     ASSERT_NE(find<cancel_attempt>(), nullptr);
--- a/tests/wire/message_samples.hpp
+++ b/tests/wire/message_samples.hpp
@@ -72,6 +72,14 @@
     return {router_id{"gent-1"}, incarnation{5}, {1'764'000'000'000'000, 9}, std::move(body)};
 }
 
+inline part_filter sample_filter()
+{
+    part_filter filter;
+    filter.add(part_key{7});
+    filter.add(part_key{~0ULL});
+    return filter;
+}
+
 /// Returns a packet with all fields set.
 inline gossip_packet sample_packet()
 {
@@ -111,7 +119,8 @@
                  {target_key{0xFFFF'FFFF}, 0, duration{}}};
     out.crashes.reports = {{crash_report_id{~0ULL}, target_key{0xFFFF'FFFF},
                             std::chrono::milliseconds{200}, std::chrono::seconds{600},
-                            std::vector(max_parts_per_crash_report, part_key{~0ULL - 1})}};
+                            std::vector(max_parts_per_crash_report, part_key{~0ULL - 1}),
+                            sample_filter()}};
     out.limits = {{target_key{0xFFFF'FFFF}, request_rate{2.5}, std::chrono::seconds{60}},
                   {target_key{1}, std::nullopt, std::chrono::milliseconds{5}}};
     out.crashes.clearances = {{part_key{~0ULL}, std::chrono::milliseconds{60}}};
