--- a/src/entry/connection_pool.cpp
+++ b/src/entry/connection_pool.cpp
@@ -267,6 +267,9 @@
     }
     conn.stream->close();
     const auto found_connection = connections_.find(conn.number);
+    if (found_connection == connections_.end()) {
+        return; // Dropped before.
+    }
     // Destroyed later, since the caller may be a callback of the stream.
     loop_->post([dropped = std::shared_ptr<connection>{std::move(found_connection->second)}] {});
     connections_.erase(found_connection);
@@ -325,7 +328,7 @@
     const auto now = loop_->now();
     schedule_expiry(now + expiry_interval);
     std::vector<connection*> idle;
-    std::vector<connection*> timed_out;
+    std::vector<std::uint64_t> timed_out;
     for (const auto& [number, conn] : connections_) {
         if (!conn->is_busy &&
             now - conn->idle_since > fraction_of(conn->idle_time, idle_time_fraction)) {
@@ -333,7 +336,7 @@
         }
         if (conn->is_busy && conn->deadline != time_point{}) {
             if (now >= conn->deadline) {
-                timed_out.push_back(conn.get());
+                timed_out.push_back(number);
             }
             else {
                 schedule_expiry(conn->deadline);
@@ -343,8 +346,13 @@
     for (auto* conn : idle) {
         drop(*conn);
     }
-    for (auto* conn : timed_out) {
-        fail(*conn, conn->is_connected ? "timed out" : "connecting timed out");
+    for (const auto number : timed_out) {
+        // The callback of one failure may have cancelled another request that timed out.
+        const auto found = connections_.find(number);
+        if (found != connections_.end()) {
+            auto& conn = *found->second;
+            fail(conn, conn.is_connected ? "timed out" : "connecting timed out");
+        }
     }
 }
 
--- a/src/entry/request_server.cpp
+++ b/src/entry/request_server.cpp
@@ -159,6 +159,9 @@
     }
     conn.stream->close();
     const auto found = connections_.find(conn.number);
+    if (found == connections_.end()) {
+        return; // Dropped before.
+    }
     // Destroyed later, since the caller may be a callback of the stream.
     loop_->post([dropped = std::shared_ptr<connection>{std::move(found->second)}] {});
     connections_.erase(found);
--- a/tests/entry/connection_pool_test.cpp
+++ b/tests/entry/connection_pool_test.cpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <gtest/gtest.h>
 
@@ -49,20 +50,19 @@
 
     event_loop loop;
     std::map<outgoing_id, outcome> outcomes;
-    connection_pool pool{
-        loop,
-        {[this](outgoing_id id, response_head&& head) {
-             ++outcomes[id].heads;
-             outcomes[id].status = head.status;
-             if (head.status == 299) {
-                 pool.skip_answer(id);
-             }
-         },
-         [this](outgoing_id id, std::string_view bytes) { outcomes[id].body += bytes; },
-         [this](outgoing_id id) { outcomes[id].is_complete = true; },
-         [this](outgoing_id id, request_failure&& failure) {
-             outcomes[id].failed_stage = failure.stage;
-         }}};
+    connection_pool pool{loop,
+                         {[this](outgoing_id id, response_head&& head) {
+                              ++outcomes[id].heads;
+                              outcomes[id].status = head.status;
+                              if (head.status == 299) {
+                                  pool.skip_answer(id);
+                              }
+                          },
+                          [this](outgoing_id id, std::string_view bytes) { outcomes[id].body += bytes; },
+                          [this](outgoing_id id) { outcomes[id].is_complete = true; },
+                          [this](outgoing_id id, request_failure&& failure) {
+                              outcomes[id].failed_stage = failure.stage;
+                          }}};
 };
 
 TEST_F(pool_fixture, reuses_connections_for_further_requests)
@@ -204,6 +204,36 @@
     EXPECT_FALSE(outcomes[id].failed_stage);
 }
 
+// The failure of one attempt may end others: those with a prompt part that it made suspect. A
+// second request that had timed out in the same moment was then dropped twice, which ended the
+// process.
+TEST_F(pool_fixture, a_failure_may_cancel_requests_that_time_out_at_the_same_time)
+{
+    scripted_target silent{
+        loop, [](int, const request_head&) { return scripted_target::scripted_response{}; }};
+    constexpr int count = 8;
+    std::vector<outgoing_id> sent;
+    int failures = 0;
+    connection_pool cancelling{loop,
+                               {[](outgoing_id, response_head&&) {},
+                                [](outgoing_id, std::string_view) {}, [](outgoing_id) {},
+                                [&](outgoing_id, request_failure&&) {
+                                    ++failures;
+                                    for (const auto id : sent) {
+                                        cancelling.cancel(id);
+                                    }
+                                }}};
+    for (int n = 0; n < count; ++n) {
+        outgoing_request request;
+        request.to = silent.address();
+        request.bytes = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+        request.timeout = std::chrono::milliseconds{100};
+        sent.push_back(cancelling.send(std::move(request)));
+    }
+    run_until(loop, [&] { return cancelling.connections() == 0; });
+    EXPECT_EQ(failures, 1);
+}
+
 TEST_F(pool_fixture, closes_a_connection_answered_before_the_whole_request)
 {
     // Larger than the socket buffers, so that a part is unsent when the answer arrives.
