--- a/src/entry/connection_pool.cpp
+++ b/src/entry/connection_pool.cpp
@@ -215,6 +215,7 @@
         drop(conn);
         return;
     }
+    conn.stream->pause_reading(false); // Paused for a caller that read the answer slowly.
     conn.deadline = time_point{};
     conn.idle_since = loop_->now();
     idle_[conn.to].push_back(&conn);
--- a/tests/entry/connection_pool_test.cpp
+++ b/tests/entry/connection_pool_test.cpp
@@ -50,6 +50,7 @@
 
     event_loop loop;
     std::map<outgoing_id, outcome> outcomes;
+    bool pauses_at_body = false; ///< Each body pauses its connection.
     connection_pool pool{loop,
                          {[this](outgoing_id id, response_head&& head) {
                               ++outcomes[id].heads;
@@ -58,7 +59,12 @@
                                   pool.skip_answer(id);
                               }
                           },
-                          [this](outgoing_id id, std::string_view bytes) { outcomes[id].body += bytes; },
+                          [this](outgoing_id id, std::string_view bytes) {
+                              outcomes[id].body += bytes;
+                              if (pauses_at_body) {
+                                  pool.pause_reading(id, true);
+                              }
+                          },
                           [this](outgoing_id id) { outcomes[id].is_complete = true; },
                           [this](outgoing_id id, request_failure&& failure) {
                               outcomes[id].failed_stage = failure.stage;
@@ -234,6 +240,18 @@
     EXPECT_EQ(failures, 1);
 }
 
+// Reading is paused while a caller is slow, also in the very bytes that complete the answer.
+TEST_F(pool_fixture, a_connection_paused_at_the_end_of_its_answer_reads_the_next_one)
+{
+    scripted_target target{loop, [](int, const request_head&) {
+                               return scripted_target::scripted_response{std::string{whole_answer}};
+                           }};
+    pauses_at_body = true;
+    EXPECT_TRUE(exchange(target.address()).is_complete);
+    EXPECT_TRUE(exchange(target.address()).is_complete);
+    EXPECT_EQ(target.connections, 1);
+}
+
 TEST_F(pool_fixture, closes_a_connection_answered_before_the_whole_request)
 {
     // Larger than the socket buffers, so that a part is unsent when the answer arrives.
