--- a/include/endivelatch/entry/entry_process.hpp
+++ b/include/endivelatch/entry/entry_process.hpp
@@ -40,8 +40,10 @@
     /// Minimum time that a stopping router serves requests, because callers cache lists of entry
     /// addresses that still contain it.
     static constexpr duration min_stop_time{2'500'000};
-    /// A stopping router exits at least this long before the platform would kill it.
+    /// A stopping router answers all open requests this long before the platform would kill it, and
+    /// exits at the latest `exit_margin` before that.
     static constexpr duration stop_margin{500'000};
+    static constexpr duration exit_margin{100'000};
     /// Interval at which a router without peers looks them up in the store, first at its start.
     static constexpr duration peer_lookup_interval{5'000'000};
     /// Timeout of calls that register this router or list the others.
@@ -139,6 +141,7 @@
         unreadable_revisions_; ///< Of the invalid registrations, which were logged.
     bool was_ready_ = false;
     bool is_stopping_ = false;
+    bool has_ended_requests_ = false; ///< The time to stop is over.
     time_point stop_started_at_{};
     timer router_timer_;
     timer housekeeping_;
--- a/include/endivelatch/entry/entry_process_life.hpp
+++ b/include/endivelatch/entry/entry_process_life.hpp
@@ -479,8 +479,15 @@
 void entry_process<Protocol>::check_stop()
 {
     const auto elapsed = loop_->now() - stop_started_at_;
-    const bool is_done = router_.active() == 0 && elapsed >= min_stop_time;
-    if (is_done || elapsed >= settings_.bounds.stop_grace - stop_margin) {
+    const auto grace = settings_.bounds.stop_grace;
+    if (elapsed >= grace - stop_margin && !std::exchange(has_ended_requests_, true)) {
+        write(log_event{"stop_time_over"}.add("active", router_.active()));
+        deliver(exit_announced{});
+    }
+    const bool has_time_passed = has_ended_requests_ || elapsed >= min_stop_time;
+    const bool is_done =
+        has_time_passed && router_.active() == 0 && !caller_server_.has_unfinished_work();
+    if (is_done || elapsed >= grace - exit_margin) {
         write(log_event{"stopped"}.add("active", router_.active()));
         sink_->write_buffered();
         loop_->stop();
--- a/include/endivelatch/entry/request_server.hpp
+++ b/include/endivelatch/entry/request_server.hpp
@@ -48,7 +48,8 @@
     /// Stops listening. Open connections continue.
     void stop_listening();
 
-    /// Closes all idle connections and, from now on, every connection after its next answer.
+    /// Closes all idle connections and, from now on, every connection after its next answer, unless
+    /// another request was already received on it.
     void close_connections();
 
     /// Replaces the limits. Size limits take effect with the next request of each connection.
@@ -77,6 +78,10 @@
     /// Returns the bound address.
     const endpoint& listening() const { return address_; }
 
+    /// Returns whether bytes of answers were not written yet, or requests were received that are
+    /// not passed on yet.
+    bool has_unfinished_work() const;
+
     /// Returns the number of requests without a complete answer.
     std::size_t active() const { return exchanges_.size(); }
 
--- a/include/endivelatch/traffic/traffic_event.hpp
+++ b/include/endivelatch/traffic/traffic_event.hpp
@@ -132,6 +132,10 @@
     time_point exits_at{}; ///< Latest exit time of the process.
 };
 
+/// The process exits as soon as what was sent to callers is written. Every open request gets its
+/// final answer.
+struct exit_announced {};
+
 /// The time returned by `next_timer` was reached.
 struct timer_due {};
 
@@ -139,7 +143,7 @@
     std::variant<request_arrived, caller_disconnected, attempt_broken, answer_begun, answer_bytes,
                  answer_finished, configuration_changed, targets_changed, fleet_changed,
                  loads_received, failures_received, limits_received, crash_news_received,
-                 stop_announced, timer_due>;
+                 stop_announced, exit_announced, timer_due>;
 
 /// Sends the request to a target.
 struct start_attempt {
--- a/include/endivelatch/traffic/traffic_router.hpp
+++ b/include/endivelatch/traffic/traffic_router.hpp
@@ -92,9 +92,10 @@
     /// in that time, since other requests are refused as well.
     static constexpr duration min_late_retry_after{500'000};
     static constexpr duration max_late_retry_after{2'000'000};
-    /// Time for which a stopping router still accepts all requests. Within it, callers learn that
-    /// the router was removed from the entry list.
+    /// Time for which a stopping router still accepts all requests, but at most `accepting_share`
+    /// of its time. Within it, callers learn that the router was removed from the entry list.
     static constexpr duration stop_grace_period{2'500'000};
+    static constexpr double accepting_share = 0.5;
     /// Retry-After of a stopping router; short, because other routers can serve immediately.
     static constexpr duration stop_retry_after{20'000};
 
@@ -159,6 +160,7 @@
     void on(const limits_received& e);
     void on(const crash_news_received& e);
     void on(stop_announced& e);
+    void on(const exit_announced& e);
     void on(timer_due& e);
 
     // Arrivals, in traffic_arrivals.cpp.
--- a/src/entry/request_server.cpp
+++ b/src/entry/request_server.cpp
@@ -2,6 +2,7 @@
 
 #include "endivelatch/http1/message_writer.hpp"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -190,7 +191,7 @@
     else {
         append_header(out, "Transfer-Encoding", "chunked");
     }
-    conn->keeps_alive = conn->keeps_alive && !is_closing_;
+    conn->keeps_alive = conn->keeps_alive && !(is_closing_ && conn->pending.empty());
     if (!conn->keeps_alive) {
         append_header(out, "Connection", "close");
     }
@@ -235,7 +236,8 @@
         const auto number = conn->number;
         loop_->post([this, number] {
             const auto found = connections_.find(number);
-            if (found != connections_.end() && !found->second->is_busy) {
+            if (found != connections_.end() && !found->second->is_busy &&
+                !found->second->closes_when_written) {
                 read_requests(*found->second);
             }
         });
@@ -266,6 +268,14 @@
     return conn == nullptr ? 0 : conn->stream->out().size();
 }
 
+bool request_server::has_unfinished_work() const
+{
+    return std::any_of(connections_.begin(), connections_.end(), [](const auto& entry) {
+        const auto& conn = *entry.second;
+        return !conn.stream->out().empty() || !conn.pending.empty();
+    });
+}
+
 void request_server::close_connections()
 {
     is_closing_ = true;
--- a/src/traffic/traffic_arrivals.cpp
+++ b/src/traffic/traffic_arrivals.cpp
@@ -66,7 +66,12 @@
 
 bool traffic_router::outlives_stop(const exchange& it) const
 {
-    return stop_ && now_ - stop_started_at_ > stop_grace_period && it.expires_at > stop_->exits_at;
+    if (!stop_ || it.expires_at <= stop_->exits_at) {
+        return false;
+    }
+    const auto share = std::chrono::duration_cast<duration>((stop_->exits_at - stop_started_at_) *
+                                                            accepting_share);
+    return now_ - stop_started_at_ > std::min(stop_grace_period, share);
 }
 
 bool traffic_router::admit(exchange_number number, const caller_request& request, exchange& it)
--- a/src/traffic/traffic_router.cpp
+++ b/src/traffic/traffic_router.cpp
@@ -276,6 +276,23 @@
     stop_started_at_ = now_;
 }
 
+void traffic_router::on(const exit_announced&)
+{
+    for (const auto& it : std::exchange(early_requests_, {})) {
+        refuse_arrival(it.exchange, it.request, 503, "the router stops", stop_retry_after);
+    }
+    std::vector<exchange_number> open;
+    open.reserve(exchanges_.size());
+    for (const auto& [number, it] : exchanges_) {
+        open.push_back(number);
+    }
+    for (const auto number : open) {
+        auto& it = exchanges_.at(number);
+        fail_request(number, it, it.may_have_run > 0 ? 502 : 503, "the router stops",
+                     stop_retry_after);
+    }
+}
+
 void traffic_router::on(timer_due&)
 {
     refuse_expired_early_requests();
--- a/tests/entry/request_server_test.cpp
+++ b/tests/entry/request_server_test.cpp
@@ -73,6 +73,21 @@
     EXPECT_FALSE(is_closed);
 }
 
+// review/4: a request that was read behind another one was dropped at a planned stop.
+TEST_F(server_fixture, answers_the_requests_that_were_read_before_it_closes_connections)
+{
+    send("GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+    wait_for(1);
+    server.close_connections();
+    EXPECT_TRUE(server.has_unfinished_work());
+    server.respond(arrived[0].first, 200, {}, "one");
+    wait_for(2);
+    server.respond(arrived[1].first, 200, {}, "two");
+    run_until(loop, [&] { return is_closed; });
+    EXPECT_TRUE(received.ends_with("\r\nConnection: close\r\n\r\ntwo"));
+    EXPECT_FALSE(server.has_unfinished_work());
+}
+
 TEST_F(server_fixture, reports_a_caller_that_disconnects)
 {
     send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
--- a/tests/serve/serve_fleet.cpp
+++ b/tests/serve/serve_fleet.cpp
@@ -166,22 +166,23 @@
 void serve_fleet::write_configuration(int version, const std::vector<std::string>& keys)
 {
     const auto route = [](const std::string& name, const std::string& type, int attempts,
-                          bool resumes) {
+                          bool resumes, int timeout_ms = 1'500) {
         return nlohmann::json{
-            {"Name", name},       {"Host", "host.example"}, {"PathPrefix", "/" + name + "/"},
-            {"Type", type},       {"TimeoutMs", 1'500},     {"TargetLatencyMs", 200},
-            {"Priority", 1},      {"Service", "pool"},      {"MaxAttempts", attempts},
+            {"Name", name},       {"Host", "host.example"},  {"PathPrefix", "/" + name + "/"},
+            {"Type", type},       {"TimeoutMs", timeout_ms}, {"TargetLatencyMs", 200},
+            {"Priority", 1},      {"Service", "pool"},       {"MaxAttempts", attempts},
             {"Anonymous", false}, {"StreamResume", resumes}};
     };
-    store.put("config", "main",
-              {{"Version", version},
-               {"Routes",
-                {route("safe", "safe", 2, false), route("unsafe", "unsafe", 1, false),
-                 route("once/stream", "streaming", 1, false),
-                 route("again/stream", "streaming", 2, true)}},
-               {"Services", {{{"Name", "pool"}, {"HealthPath", "/healthz"}}}},
-               {"Limits", {{"MaxHeaderBytes", 4'096}, {"MaxBodyBytes", 10'000}}},
-               {"Tenants", {{{"Name", "org"}, {"ApiKeys", keys}}}}});
+    store.put(
+        "config", "main",
+        {{"Version", version},
+         {"Routes",
+          {route("safe", "safe", 2, false), route("unsafe", "unsafe", 1, false),
+           route("long", "unsafe", 1, false, 60'000), route("once/stream", "streaming", 1, false),
+           route("again/stream", "streaming", 2, true)}},
+         {"Services", {{{"Name", "pool"}, {"HealthPath", "/healthz"}}}},
+         {"Limits", {{"MaxHeaderBytes", 4'096}, {"MaxBodyBytes", 10'000}}},
+         {"Tenants", {{{"Name", "org"}, {"ApiKeys", keys}}}}});
 }
 
 outgoing_id serve_fleet::send(int router, const std::string& path, const std::string& attempt,
--- a/tests/standins/replica_standin.cpp
+++ b/tests/standins/replica_standin.cpp
@@ -106,7 +106,8 @@
         break;
     }
     if (!is_stream) {
-        server_.respond(id, 200, headers, head.method + " " + head.target + " " + body);
+        server_.respond(id, 200, headers,
+                        body_.empty() ? head.method + " " + head.target + " " + body : body_);
         return;
     }
     headers.push_back({"Content-Type", "text/event-stream"});
--- a/tests/standins/replica_standin.hpp
+++ b/tests/standins/replica_standin.hpp
@@ -45,6 +45,9 @@
     /// connections with a request, and for `restart_time` those of new requests too.
     void set_deadly_part(std::string part) { deadly_part_ = std::move(part); }
 
+    /// Sets the body of all plain responses; by default they repeat the request.
+    void set_body(std::string body) { body_ = std::move(body); }
+
     /// Returns how often the replica has crashed.
     int crashes() const { return crashes_; }
 
@@ -79,6 +82,7 @@
     std::string pool_;
     fault fault_ = fault::none;
     std::string deadly_part_;
+    std::string body_;
     int crashes_ = 0;
     bool is_down_ = false;
     http_headers statements_;
--- a/tests/traffic/traffic_router_test.cpp
+++ b/tests/traffic/traffic_router_test.cpp
@@ -489,6 +489,33 @@
     EXPECT_NE(find<start_attempt>(), nullptr);
 }
 
+// Requests that were taken in a planned stop were cut without an answer at its end.
+TEST_F(router_fixture, open_requests_get_a_true_answer_before_the_process_exits)
+{
+    const auto waiting = arrive("unsafe");
+    const auto begun = arrive("stream");
+    const auto key = started();
+    dispatch(answer_begun{key, success()});
+    dispatch(answer_bytes{key, "id: 1\ndata: x\n\n"});
+    dispatch(stop_announced{clock.now() + seconds{4}});
+    dispatch(exit_announced{});
+    ASSERT_NE(find<refuse_request>(), nullptr);
+    EXPECT_EQ(find<refuse_request>()->exchange, waiting);
+    EXPECT_EQ(find<refuse_request>()->status, 502); // It may have run.
+    ASSERT_NE(find<abort_answer>(), nullptr);
+    EXPECT_EQ(find<abort_answer>()->exchange, begun);
+    EXPECT_EQ(router.active(), 0U);
+}
+
+TEST_F(router_fixture, a_router_with_little_time_to_stop_refuses_sooner)
+{
+    dispatch(stop_announced{clock.now() + seconds{1}});
+    clock.advance(milliseconds{501});
+    arrive("stream");
+    ASSERT_NE(find<refuse_request>(), nullptr);
+    EXPECT_EQ(find<refuse_request>()->status, 503);
+}
+
 TEST_F(router_fixture, retries_stay_within_the_share_of_this_router)
 {
     // Burst: 0.8 x 10 retries shared by two routers. Share: 0.2 x 0.8 retries per request.
