--- a/tests/failures/child_process.cpp
+++ b/tests/failures/child_process.cpp
@@ -1,6 +1,7 @@
 #include "child_process.hpp"
 
 #include <fcntl.h>
+#include <fstream>
 #include <spawn.h>
 #include <stdexcept>
 #include <sys/wait.h>
@@ -61,4 +62,17 @@
     return exit_code_;
 }
 
+std::size_t child_process::peak_memory() const
+{
+    constexpr std::size_t bytes_per_kb = 1'024;
+    const std::string field = "VmHWM:";
+    std::ifstream in{"/proc/" + std::to_string(pid_) + "/status"};
+    for (std::string line; std::getline(in, line);) {
+        if (line.starts_with(field)) {
+            return std::stoul(line.substr(field.size())) * bytes_per_kb;
+        }
+    }
+    return 0;
+}
+
 } // namespace endivelatch::failures
--- a/tests/failures/child_process.hpp
+++ b/tests/failures/child_process.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <csignal>
+#include <cstddef>
 #include <string>
 #include <sys/types.h>
 #include <vector>
@@ -28,6 +29,9 @@
     /// while it runs.
     int exit_code();
 
+    /// Returns the largest resident memory of the process so far, in bytes; 0 if it has ended.
+    std::size_t peak_memory() const;
+
 private:
     pid_t pid_ = -1;
     int exit_code_ = -1;
