Soak: prompts with deadly parts, deadlines of some ms, odd entries, configurations in series

Cause: the soak did not reach what the users' record shows. Change: these draw from a random source of their own, so that earlier seeds keep their schedules.

--- a/tests/serve/serve_fleet.cpp
+++ b/tests/serve/serve_fleet.cpp
@@ -201,14 +201,24 @@
                                  parts + "\r\n");
 }
 
+outgoing_id serve_fleet::send_with_deadline(int router, const std::string& path,
+                                            const std::string& attempt, int deadline_ms,
+                                            const std::string& headers)
+{
+    return send_with_headers(router, "POST " + path, attempt,
+                             "Authorization: Token key\r\n" + headers, deadline_ms);
+}
+
 outgoing_id serve_fleet::send_with_headers(int router, const std::string& request_line,
-                                           const std::string& attempt, const std::string& headers)
+                                           const std::string& attempt, const std::string& headers,
+                                           int deadline_ms)
 {
     outgoing_request request;
     request.to = frontend_endpoint(router);
-    request.bytes =
-        request_line + " HTTP/1.1\r\nHost: host.example\r\nEndivelatch-Attempt-Id: " + attempt +
-        "\r\nEndivelatch-Deadline-Ms: 5000\r\n" + headers + "Content-Length: 4\r\n\r\nbody";
+    request.bytes = request_line +
+                    " HTTP/1.1\r\nHost: host.example\r\nEndivelatch-Attempt-Id: " + attempt +
+                    "\r\nEndivelatch-Deadline-Ms: " + std::to_string(deadline_ms) + "\r\n" +
+                    headers + "Content-Length: 4\r\n\r\nbody";
     return client_connections.send(std::move(request));
 }
 
--- a/tests/serve/serve_fleet.hpp
+++ b/tests/serve/serve_fleet.hpp
@@ -57,6 +57,10 @@
     /// Sends a request for a stream whose prompt has the given parts, such as "a1:500,b2:500".
     outgoing_id send_prompt(int router, const std::string& attempt, const std::string& parts);
 
+    /// Sends a POST request with a deadline in ms and further headers, each ended by a line break.
+    outgoing_id send_with_deadline(int router, const std::string& path, const std::string& attempt,
+                                   int deadline_ms, const std::string& headers);
+
     /// Sends a request and waits for the end of the response.
     client_response send_and_wait(int router, const std::string& path, const std::string& attempt,
                                   const std::string& key = "key");
@@ -104,7 +108,8 @@
 
 private:
     outgoing_id send_with_headers(int router, const std::string& request_line,
-                                  const std::string& attempt, const std::string& headers);
+                                  const std::string& attempt, const std::string& headers,
+                                  int deadline_ms = 5'000);
     endpoint address(int router, int offset) const;
     endpoint store_address() const;
 
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -2,6 +2,7 @@
 
 #include "net/loopback.hpp"
 
+#include <array>
 #include <csignal>
 #include <fstream>
 #include <utility>
@@ -22,10 +23,25 @@
 /// Longer than the route timeouts and the grace period of a graceful shutdown.
 constexpr duration settle_time = seconds{5};
 constexpr std::uint64_t cancellation_percentage = 8;
+constexpr std::uint64_t short_deadline_percentage = 10;
+constexpr std::uint64_t deadly_percentage = 20;
+constexpr std::uint64_t max_short_deadline_ms = 30;
+constexpr int deadline_ms = 5'000;
+constexpr std::uint64_t max_chat_turns = 20;
+constexpr const char* deadly_part = "dead";
+constexpr int min_later_fault_interval_ms = 200;
+constexpr int max_later_fault_interval_ms = 1'000;
+
+/// Entries of another writer among the registrations.
+const std::array odd_entries{std::string{"{\"Service\":\"pool\",\"Note\":\"\xff\"}"},
+                             std::string{R"({"Service":"pool","State":"ready","Slots":1e400})"},
+                             std::string{R"({"Service":"pool","Address":"127.0.0.1:99999"})"},
+                             "{\"Zone\":" + std::string(100'000, '[') + std::string(100'000, ']') +
+                                 "}"};
 
 } // namespace
 
-soak_run::soak_run(std::uint64_t seed) : random_{seed}
+soak_run::soak_run(std::uint64_t seed) : random_{seed}, later_random_{~seed}
 {
     for (int n = 1; n <= router_count; ++n) {
         states_[n] = router_state::running;
@@ -51,6 +67,7 @@
 {
     const auto ends_at = fleet_.loop.now() + length;
     auto next_fault = fleet_.loop.now() + random_duration(100, 300);
+    auto next_later_fault = fleet_.loop.now();
     while (fleet_.loop.now() < ends_at) {
         send_request();
         if (fleet_.loop.now() >= next_fault) {
@@ -58,6 +75,13 @@
             next_fault =
                 fleet_.loop.now() + random_duration(min_fault_interval_ms, max_fault_interval_ms);
         }
+        if (fleet_.loop.now() >= next_later_fault) {
+            inject_later_fault();
+            next_later_fault =
+                fleet_.loop.now() + milliseconds{min_later_fault_interval_ms +
+                                                 later_random_.below(max_later_fault_interval_ms -
+                                                                     min_later_fault_interval_ms)};
+        }
         run_for(fleet_.loop, request_interval);
         check_exits();
     }
@@ -71,7 +95,11 @@
     record.type = static_cast<request_type>(random_.below(4));
     record.attempt = "s" + std::to_string(records_.size());
     record.path = request_path(record.type, record.attempt);
-    record.response_id = fleet_.send(router, record.path, record.attempt);
+    const bool is_short = later_random_.below(100) < short_deadline_percentage;
+    const auto deadline =
+        is_short ? 1 + static_cast<int>(later_random_.below(max_short_deadline_ms)) : deadline_ms;
+    record.response_id = fleet_.send_with_deadline(router, record.path, record.attempt, deadline,
+                                                   prompt_headers(record.attempt));
     records_.push_back(record);
     if (random_.below(100) < cancellation_percentage) {
         const auto index = records_.size() - 1;
@@ -79,6 +107,22 @@
     }
 }
 
+/// Returns the headers of a prompt: parts that are common, those of a chat of some turns, the
+/// request's own. While replicas are poisoned, some have the deadly part among them.
+std::string soak_run::prompt_headers(const std::string& attempt)
+{
+    std::string parts = "c0:100";
+    const auto turns = later_random_.below(max_chat_turns);
+    const auto chat = std::to_string(std::hash<std::string>{}(attempt) % 1'000'000'000);
+    const bool is_deadly = is_poisoned_ && later_random_.below(100) < deadly_percentage;
+    const auto place = later_random_.below(turns + 1);
+    for (std::uint64_t n = 0; n <= turns; ++n) {
+        parts += is_deadly && n == place ? std::string{","} + deadly_part + ":100" : "";
+        parts += "," + chat + "a" + std::to_string(n) + ":100";
+    }
+    return "Endivelatch-Token-Usage: 2000,80\r\nEndivelatch-Prefix-Hash: " + parts + "\r\n";
+}
+
 void soak_run::cancel_request(std::size_t record)
 {
     auto& it = records_[record];
@@ -130,6 +174,54 @@
     }
 }
 
+void soak_run::inject_later_fault()
+{
+    switch (later_random_.below(3)) {
+    case 0:
+        change_configuration_in_series();
+        return;
+    case 1:
+        write_odd_entry();
+        return;
+    default:
+        poison_replicas();
+    }
+}
+
+void soak_run::change_configuration_in_series()
+{
+    constexpr std::uint64_t max_changes = 6;
+    const auto changes = 1 + static_cast<int>(later_random_.below(max_changes));
+    for (int n = 0; n < changes; ++n) {
+        schedule(milliseconds{n * 20}, [this] { change_configuration(); });
+    }
+}
+
+void soak_run::write_odd_entry()
+{
+    count_fault("odd_entry");
+    fleet_.store.put_text("servers", "x-other",
+                          odd_entries.at(later_random_.below(odd_entries.size())));
+}
+
+void soak_run::poison_replicas()
+{
+    if (is_poisoned_) {
+        return;
+    }
+    count_fault("replicas_poisoned");
+    is_poisoned_ = true;
+    for (const auto& it : fleet_.replicas) {
+        it->set_deadly_part(deadly_part);
+    }
+    schedule(milliseconds{300 + later_random_.below(1'500)}, [this] {
+        is_poisoned_ = false;
+        for (const auto& it : fleet_.replicas) {
+            it->set_deadly_part({});
+        }
+    });
+}
+
 bool soak_run::handles_signals(int router) const
 {
     return states_.at(router) == router_state::running &&
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -42,8 +42,10 @@
     };
 
     void send_request();
+    std::string prompt_headers(const std::string& attempt);
     void cancel_request(std::size_t record);
     void inject_fault();
+    void inject_later_fault();
 
     // Router faults.
     void kill_router(int router);
@@ -54,6 +56,9 @@
 
     // Store and replica faults.
     void change_configuration();
+    void change_configuration_in_series();
+    void write_odd_entry();
+    void poison_replicas();
     void disrupt_store(standins::store_standin::mode mode);
     void fail_replica(std::size_t replica);
     void replace_replica(std::size_t replica);
@@ -71,6 +76,8 @@
     void schedule(duration delay, std::function<void()> call);
 
     random_source random_;
+    /// Of requests and faults that were added later, so that earlier seeds keep their schedules.
+    random_source later_random_;
     serve::serve_fleet fleet_{router_count, serve::serve_fleet::network_path::through_proxies};
     standins::delayed_calls delays_{fleet_.loop};
     std::map<int, router_state> states_;
@@ -79,7 +86,8 @@
     std::vector<std::string> violations_;
     int version_ = 1;
     int registration_count_ = 0;
-    int pending_actions_ = 0; ///< Scheduled actions that have not run.
+    bool is_poisoned_ = false; ///< Replicas crash on a prompt part.
+    int pending_actions_ = 0;  ///< Scheduled actions that have not run.
 };
 
 } // namespace endivelatch::soak
