--- a/include/endivelatch/entry/entry_process_traffic.hpp
+++ b/include/endivelatch/entry/entry_process_traffic.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "endivelatch/entry/entry_process.hpp"
+#include "endivelatch/entry/fatal_signal.hpp"
 
 /// Members of entry_process for requests, attempts and answers.
 
@@ -22,6 +23,7 @@
 template <entry_protocol Protocol>
 void entry_process<Protocol>::deliver(traffic_event&& event)
 {
+    set_last_event(name_of(event));
     auto effects = router_.handle(std::move(event), loop_->now());
     for (auto& effect : effects) {
         std::visit([this](auto& e) { this->execute(e); }, effect);
--- a/include/endivelatch/traffic/traffic_event.hpp
+++ b/include/endivelatch/traffic/traffic_event.hpp
@@ -145,6 +145,9 @@
                  loads_received, failures_received, limits_received, crash_news_received,
                  stop_announced, exit_announced, timer_due>;
 
+/// Returns the name of the event, such as `answer_begun`. The string is never destroyed.
+const char* name_of(const traffic_event& event);
+
 /// Sends the request to a target.
 struct start_attempt {
     exchange_attempt key;
--- a/src/endivelatch/serve_command.cpp
+++ b/src/endivelatch/serve_command.cpp
@@ -2,6 +2,7 @@
 #include "setting_reader.hpp"
 
 #include "endivelatch/entry/entry_process.hpp"
+#include "endivelatch/entry/fatal_signal.hpp"
 #include "platform/protocol.hpp"
 
 #include <csignal>
@@ -66,6 +67,7 @@
     for (const int signal_number : {SIGPIPE, SIGHUP, SIGUSR1, SIGUSR2}) {
         std::signal(signal_number, SIG_IGN);
     }
+    log_fatal_signals();
     const auto parsed = parse_arguments(usage, args);
     if (const auto* code = std::get_if<exit_code>(&parsed)) {
         return *code;
--- a/src/traffic/traffic_router.cpp
+++ b/src/traffic/traffic_router.cpp
@@ -3,6 +3,7 @@
 #include "endivelatch/base/overloaded.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <utility>
 
@@ -38,6 +39,17 @@
     return "unknown";
 }
 
+const char* name_of(const traffic_event& event)
+{
+    // In the order of the variant.
+    constexpr std::array<const char*, std::variant_size_v<traffic_event>> names{
+        "request_arrived",     "caller_disconnected", "attempt_broken",        "answer_begun",
+        "answer_bytes",        "answer_finished",     "configuration_changed", "targets_changed",
+        "fleet_changed",       "loads_received",      "failures_received",     "limits_received",
+        "crash_news_received", "stop_announced",      "exit_announced",        "timer_due"};
+    return names.at(event.index());
+}
+
 traffic_router::traffic_router(const traffic_settings& settings) : settings_{settings} {}
 
 traffic_effects traffic_router::handle(traffic_event&& event, time_point now)
