--- a/include/endivelatch/traffic/configuration.hpp
+++ b/include/endivelatch/traffic/configuration.hpp
@@ -83,10 +83,11 @@
 class traffic_configuration {
 public:
     /// Builds the lookup tables. Of several routes with the same host and prefix, the first is
-    /// used.
+    /// used. `lists_organisations` tells that requests need a key even if there is no organisation.
     traffic_configuration(traffic_version version, std::vector<traffic_route>&& routes,
                           std::vector<traffic_pool>&& pools,
-                          std::vector<traffic_organisation>&& organisations, caller_limits limits);
+                          std::vector<traffic_organisation>&& organisations, caller_limits limits,
+                          bool lists_organisations = false);
 
     /// Returns the version of this configuration.
     traffic_version version() const { return version_; }
@@ -101,7 +102,7 @@
     const traffic_organisation* find_organisation(const std::string& key) const;
 
     /// Returns whether requests need an API key, except on anonymous routes.
-    bool has_organisations() const { return !organisations_.empty(); }
+    bool needs_keys() const { return lists_organisations_ || !organisations_.empty(); }
 
     /// Returns the limits for caller connections.
     const caller_limits& limits() const { return limits_; }
@@ -119,6 +120,7 @@
     /// Index into `organisations_` by API key.
     std::unordered_map<std::string, std::size_t> organisation_by_key_;
     caller_limits limits_;
+    bool lists_organisations_ = false;
     std::size_t route_count_ = 0;
 };
 
--- a/src/traffic/configuration.cpp
+++ b/src/traffic/configuration.cpp
@@ -41,8 +41,9 @@
                                              std::vector<traffic_route>&& routes,
                                              std::vector<traffic_pool>&& pools,
                                              std::vector<traffic_organisation>&& organisations,
-                                             caller_limits limits)
-    : version_{version}, organisations_{std::move(organisations)}, limits_{limits}
+                                             caller_limits limits, bool lists_organisations)
+    : version_{version}, organisations_{std::move(organisations)}, limits_{limits},
+      lists_organisations_{lists_organisations}
 {
     for (auto& it : routes) {
         auto& prefixes = routes_by_host_[it.host];
--- a/src/traffic/traffic_arrivals.cpp
+++ b/src/traffic/traffic_arrivals.cpp
@@ -85,7 +85,7 @@
     if (request.api_key) {
         organisation = configuration_->find_organisation(*request.api_key);
     }
-    const bool needs_key = configuration_->has_organisations() && !route->is_anonymous;
+    const bool needs_key = configuration_->needs_keys() && !route->is_anonymous;
     if (needs_key && organisation == nullptr) {
         refuse_arrival(number, request, 401, request.api_key ? "unknown key" : "no key");
         return false;
--- a/tests/platform_adapter/objects_test.cpp
+++ b/tests/platform_adapter/objects_test.cpp
@@ -223,6 +223,19 @@
     EXPECT_EQ(configuration.limits().idle_timeout, std::chrono::milliseconds{400});
 }
 
+// From the review: when a version took the last organisation away, every key was accepted.
+TEST(platform_objects, an_empty_list_of_organisations_needs_keys_that_nobody_holds)
+{
+    const auto needs_keys = [](const std::string& tenants) {
+        const auto read = protocol::read_configuration(
+            {"main", store_revision{1}, "{\"Version\":1,\"Routes\":[]" + tenants + "}"});
+        return value_of(read).needs_keys();
+    };
+    EXPECT_TRUE(needs_keys(R"(,"Tenants":[])"));
+    EXPECT_TRUE(needs_keys(R"(,"Tenants":[{"Name":"t","ApiKeys":["k"]}])"));
+    EXPECT_FALSE(needs_keys(""));
+}
+
 TEST(platform_objects, reports_the_path_of_each_error_in_a_configuration)
 {
     const auto read = protocol::read_configuration(
