Select the parts to name in crash reports only when reports have changed

Cause: on reading the diff: 64 reports of 200 parts were compared with each other for every packet (some 800,000 look-ups). Change: the selection is kept until a report is added, cleared or changed. Result: tests of crash_evidence pass.

--- a/include/endivelatch/traffic/crash_evidence.hpp
+++ b/include/endivelatch/traffic/crash_evidence.hpp
@@ -145,6 +145,7 @@
     /// The parts that were present at each crash of a quarantined part, including itself.
     std::unordered_map<part_key, std::vector<part_key>> quarantined_;
     std::vector<part_key> new_quarantines_;
+    bool are_named_parts_outdated_ = false; ///< Reports have changed since they were selected.
 };
 
 } // namespace endivelatch
--- a/src/traffic/crash_evidence.cpp
+++ b/src/traffic/crash_evidence.cpp
@@ -271,6 +271,7 @@
     reports.reserve(max_crash_reports_per_packet);
     for (auto* it : select_first(std::move(due), max_crash_reports_per_packet)) {
         it->shared_at = now;
+        it->is_shared_first = false;
         const auto age = std::max(now - it->crashed_at, duration{});
         reports.push_back({it->id, it->target, it->crashed_at - it->sent_at, age, it->named,
                            all_parts_of(it->parts, it->all_parts)});
@@ -282,6 +283,9 @@
 /// at once: the parts that long prompts have in common are known only after other crashes.
 void crash_evidence::update_named_parts()
 {
+    if (!std::exchange(are_named_parts_outdated_, false)) {
+        return;
+    }
     for (auto& it : records_) {
         auto parts = it.is_refuted ? std::vector<part_key>{} : select_parts(it);
         if (parts != it.named) {
@@ -464,6 +468,7 @@
 
 void crash_evidence::update_quarantine()
 {
+    are_named_parts_outdated_ = true;
     std::vector<part_key> named; // Once for each report.
     for (const auto& it : records_) {
         named.insert(named.end(), it.parts.begin(), it.parts.end());
