Start the grace time of removals at the return of the store (DRAIN)

Cause: removals that are read within 1.8 s after an outage were delayed by another 1.8 s from then on, up to 3.6 s after the store's return. Entries that lapsed are back within 2 s of it, so the delay has to end with that time. Change: the delay ends removal_grace after the store's return. The test fails before the change.

--- a/include/endivelatch/mirror/object_mirror.hpp
+++ b/include/endivelatch/mirror/object_mirror.hpp
@@ -78,10 +78,10 @@
     duration watch_wait_after_failure{200'000};
     duration initial_retry_delay{100'000}; ///< Doubles up to `max_retry_delay`.
     duration max_retry_delay{1'000'000};
-    /// Removals that are reported after calls have failed for this long are delayed by
-    /// `removal_grace`, as the objects may return.
+    /// Removals that are reported within `removal_grace` after calls have failed for this long are
+    /// delayed until its end, as the objects may return.
     duration min_outage{1'000'000};
-    /// How long such removals are delayed; zero for kinds whose objects do not expire.
+    /// Time from the store's return; zero for kinds whose objects do not expire.
     duration removal_grace{};
     /// Whether the first list may be seconds old, which is cheaper for the store. The watch after
     /// it starts at the revision of the list, so it reports what the list lacks.
--- a/src/mirror/object_mirror.cpp
+++ b/src/mirror/object_mirror.cpp
@@ -242,8 +242,9 @@
 {
     if (restored_at_ != time_point{} && now - restored_at_ < settings_.removal_grace) {
         auto name = object.name;
-        retained_.try_emplace(std::move(name),
-                              retained_object{std::move(object), now + settings_.removal_grace});
+        retained_.try_emplace(
+            std::move(name),
+            retained_object{std::move(object), restored_at_ + settings_.removal_grace});
     }
 }
 
--- a/tests/mirror/object_mirror_test.cpp
+++ b/tests/mirror/object_mirror_test.cpp
@@ -177,6 +177,21 @@
     EXPECT_FALSE(uses("b"));
 }
 
+// A target that leaves just after the store's return must not stay in use for a further grace time.
+TEST_F(mirror_fixture, the_grace_time_starts_at_the_return_of_the_store)
+{
+    mirror.handle_response(page({object("a", 1)}, 5), clock.now());
+    mirror.handle_call_failure(clock.now());
+    clock.advance(seconds{4});
+    mirror.handle_response(change(object("b", 6), false), clock.now());
+    clock.advance(milliseconds{1'400});
+    mirror.handle_response(change(object("a", 7), true), clock.now());
+    EXPECT_TRUE(uses("a"));
+    clock.advance(milliseconds{600});
+    mirror.tick(clock.now());
+    EXPECT_FALSE(uses("a"));
+}
+
 TEST_F(mirror_fixture, merges_only_newer_copies_of_peers)
 {
     mirror.handle_response(page({object("a", 4)}, 5), clock.now());
