--- a/include/endivelatch/traffic/crash_evidence.hpp
+++ b/include/endivelatch/traffic/crash_evidence.hpp
@@ -10,7 +10,8 @@
 
 namespace endivelatch {
 
-/// Finds prompt parts that crash the targets that begin to answer them, and quarantines them.
+/// Finds prompt parts that crash the targets that begin to answer them, and quarantines them. The
+/// last part tells a request that crashes targets whenever it is repeated.
 ///
 /// A crash ends all requests of a target, so a single one says little. A part is quarantined after
 /// several crashes in succession: each at the end of a request that was sent after the crash
@@ -26,12 +27,17 @@
 class crash_evidence {
 public:
     /// Records that a target closed the connection of a request before its answer began.
-    void record_crash(crash_report_id id, target_key target, std::span<const prompt_part> shared,
+    void record_crash(crash_report_id id, target_key target, std::span<const prompt_part> all,
                       time_point sent_at, time_point now);
 
     /// Records that the answer to a prompt has begun.
     void record_begin(std::span<const prompt_part> shared, time_point now);
 
+    /// Records that the answer to a prompt with the part has begun, if a report suspects the part.
+    /// For the last part of a prompt: few other prompts have it, so it is not worth remembering
+    /// otherwise.
+    void record_begin_of_suspect(const prompt_part& part, time_point now);
+
     /// Records that a target was running. Crashes shortly before did not happen; the target closed
     /// single connections.
     void record_sign_of_life(target_key target, time_point at);
@@ -45,13 +51,13 @@
 
     /// Returns a part of the prompt that is quarantined, if any, with all parts that were present
     /// at each of its crashes.
-    std::optional<part_key> find_quarantined(std::span<const prompt_part> shared, time_point now);
+    std::optional<part_key> find_quarantined(std::span<const prompt_part> all, time_point now);
 
     /// Returns the remaining time of the part's quarantine.
     duration quarantine_left(part_key part, time_point now) const;
 
     /// Returns the largest number of successive crashes of any part of the prompt.
-    std::size_t successive_crashes(std::span<const prompt_part> shared) const;
+    std::size_t successive_crashes(std::span<const prompt_part> all) const;
 
     /// Returns the parts that were quarantined since the last call.
     std::vector<part_key> take_new_quarantines();
--- a/src/traffic/crash_evidence.cpp
+++ b/src/traffic/crash_evidence.cpp
@@ -50,13 +50,13 @@
 } // namespace
 
 void crash_evidence::record_crash(crash_report_id id, target_key target,
-                                  std::span<const prompt_part> shared, time_point sent_at,
+                                  std::span<const prompt_part> all, time_point sent_at,
                                   time_point now)
 {
     // Those that began least recently first, never begun ones before all.
     std::vector<std::pair<time_point, part_key>> suspects;
-    suspects.reserve(shared.size());
-    for (const auto& it : shared) {
+    suspects.reserve(all.size());
+    for (const auto& it : all) {
         const auto begun = begun_.find(part_key{it.id});
         suspects.emplace_back(begun == begun_.end() ? time_point::min() : begun->second.at,
                               part_key{it.id});
@@ -192,6 +192,16 @@
     }
 }
 
+void crash_evidence::record_begin_of_suspect(const prompt_part& part, time_point now)
+{
+    const part_key key{part.id};
+    const bool is_suspect = std::any_of(records_.begin(), records_.end(),
+                                        [&](const auto& it) { return it.may_be_due_to(key); });
+    if (is_suspect && note_begin(key, now, false)) {
+        remove_cleared_parts();
+    }
+}
+
 /// Records that an answer to a prompt with the part has begun. Returns whether a report suspects
 /// the part of an earlier crash.
 bool crash_evidence::note_begin(part_key part, time_point at, bool was_shared)
@@ -360,7 +370,7 @@
     return clearances;
 }
 
-std::optional<part_key> crash_evidence::find_quarantined(std::span<const prompt_part> shared,
+std::optional<part_key> crash_evidence::find_quarantined(std::span<const prompt_part> all,
                                                          time_point now)
 {
     if (quarantined_.empty()) {
@@ -368,10 +378,10 @@
     }
     expire(now);
     const auto is_present = [&](part_key part) {
-        return std::any_of(shared.begin(), shared.end(),
+        return std::any_of(all.begin(), all.end(),
                            [&](const auto& it) { return it.id == part.value(); });
     };
-    for (const auto& it : shared) {
+    for (const auto& it : all) {
         const auto found = quarantined_.find(part_key{it.id});
         if (found != quarantined_.end() &&
             std::all_of(found->second.begin(), found->second.end(), is_present)) {
@@ -390,10 +400,10 @@
     return std::max(crashes.back()->crashed_at + report_lifetime - now, duration{});
 }
 
-std::size_t crash_evidence::successive_crashes(std::span<const prompt_part> shared) const
+std::size_t crash_evidence::successive_crashes(std::span<const prompt_part> all) const
 {
     std::size_t most = 0;
-    for (const auto& it : shared) {
+    for (const auto& it : all) {
         most = std::max(most, succession(part_key{it.id}).size());
     }
     return most;
--- a/src/traffic/traffic_crashes.cpp
+++ b/src/traffic/traffic_crashes.cpp
@@ -13,15 +13,17 @@
     }
     const auto id = mix_bits(stable_hash(it.request->id.str()) ^ it.running->number.value());
     crashes_.record_crash(crash_report_id{id}, key_of(it.running->target),
-                          shared_parts(*it.request->prompt), it.running->sent.at, now_);
+                          it.request->prompt->parts, it.running->sent.at, now_);
     metrics_.set("crash_reports", static_cast<std::int64_t>(crashes_.report_count()));
 }
 
 void traffic_router::record_begun_answer(const exchange& it)
 {
-    if (it.request->prompt) {
-        crashes_.record_begin(shared_parts(*it.request->prompt), now_);
+    if (!it.request->prompt || it.request->prompt->parts.empty()) {
+        return;
     }
+    crashes_.record_begin(shared_parts(*it.request->prompt), now_);
+    crashes_.record_begin_of_suspect(it.request->prompt->parts.back(), now_);
 }
 
 void traffic_router::on(const crash_news_received& e)
@@ -49,7 +51,7 @@
     for (const auto& [number, it] : exchanges_) {
         const bool has_begun = it.has_begun || !it.running || it.running->has_first_byte;
         if (!has_begun && it.request->prompt &&
-            crashes_.find_quarantined(shared_parts(*it.request->prompt), now_)) {
+            crashes_.find_quarantined(it.request->prompt->parts, now_)) {
             waiting.push_back(number);
         }
     }
@@ -64,7 +66,7 @@
     if (!it.request->prompt) {
         return false;
     }
-    const auto part = crashes_.find_quarantined(shared_parts(*it.request->prompt), now_);
+    const auto part = crashes_.find_quarantined(it.request->prompt->parts, now_);
     if (!part) {
         return false;
     }
@@ -77,7 +79,7 @@
 /// Returns whether the prompt has a part that was present at several successive crashes.
 bool traffic_router::may_have_crashed_targets(const exchange& it) const
 {
-    return it.request->prompt && crashes_.successive_crashes(shared_parts(*it.request->prompt)) >=
+    return it.request->prompt && crashes_.successive_crashes(it.request->prompt->parts) >=
                                      crash_evidence::no_retry_threshold;
 }
 
--- a/tests/traffic/traffic_crashes_test.cpp
+++ b/tests/traffic/traffic_crashes_test.cpp
@@ -1,5 +1,7 @@
 #include "router_fixture.hpp"
 
+#include <set>
+
 namespace endivelatch {
 namespace {
 
@@ -51,6 +53,28 @@
     EXPECT_EQ(find<start_attempt>(), nullptr);
 }
 
+// A request that crashes its targets comes again, while answers to others with the same shared
+// parts begin in between and clear those.
+TEST_F(router_fixture, a_request_that_crashes_targets_is_refused_when_it_comes_again)
+{
+    std::set<target_id> crashed;
+    for (int n = 0; n < 6; ++n) {
+        arrive_with_parts("stream", {1, 2, 100});
+        while (const auto* attempt = find<start_attempt>()) {
+            const bool is_down = crashed.contains(attempt->parameters.expected_target);
+            crashed.insert(attempt->parameters.expected_target);
+            clock.advance(milliseconds{100});
+            dispatch(attempt_broken{attempt->key,
+                                    is_down ? attempt_stage::not_sent : attempt_stage::sent,
+                                    "closed by the peer", !is_down});
+        }
+        clock.advance(seconds{1});
+        dispatch(crash_news_received{{{}, {{part_key{1}, {}}, {part_key{2}, {}}}}});
+        clock.advance(seconds{1});
+    }
+    EXPECT_EQ(crashed.size(), crash_evidence::quarantine_threshold);
+}
+
 // Requests that wait at targets when a part is quarantined would crash them too.
 TEST_F(router_fixture, waiting_requests_with_a_quarantined_part_are_cancelled)
 {
