Load reports of four and more figures are read

Targets of the new deployments add a fourth figure to their load reports: how long work takes on their machine now, in percent of the usual time. Three figures or more are read, further ones ignored; a fourth that is not a plausible number is dropped without the other three.

--- a/include/endivelatch/traffic/request.hpp
+++ b/include/endivelatch/traffic/request.hpp
@@ -75,6 +75,8 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t slots = 0;
+    /// Time that work takes at the target now, relative to the usual time; 1 is as usual.
+    std::optional<double> slowdown;
 };
 
 /// Status and headers of a target's answer.
--- a/tests/platform_adapter/messages_test.cpp
+++ b/tests/platform_adapter/messages_test.cpp
@@ -122,6 +122,28 @@
     EXPECT_EQ(response.headers, expected);
 }
 
+TEST(platform_messages, reads_a_load_of_three_or_more_figures)
+{
+    const auto read = [](const std::string& value) {
+        response_head head;
+        head.status = 200;
+        head.headers = {{"Endivelatch-Instance-Load", value}};
+        return protocol::read_answer(std::move(head)).load;
+    };
+    EXPECT_FALSE(read("3,1,8")->slowdown);
+    EXPECT_DOUBLE_EQ(*read("3, 1, 8, 250")->slowdown, 2.5);
+    EXPECT_DOUBLE_EQ(*read("3,1,8,87.5,7")->slowdown, 0.875);
+    EXPECT_FALSE(read("3,1"));
+    for (const auto* slowdown : {"", "0", "-100", "nan", "inf", "1e999", "fast", "1", "99999999"}) {
+        const auto load = read("3,1,8," + std::string{slowdown});
+        ASSERT_TRUE(load) << slowdown;
+        EXPECT_EQ(load->running, 3U) << slowdown;
+        EXPECT_EQ(load->waiting, 1U) << slowdown;
+        EXPECT_EQ(load->slots, 8U) << slowdown;
+        EXPECT_FALSE(load->slowdown) << slowdown;
+    }
+}
+
 TEST(platform_messages, reads_the_rate_limit_of_a_target)
 {
     const auto read = [](const std::string& value) {
