Cold targets get no more than they tolerate, from all routers together

Change: cold_start.hpp: routers share the requests that a cold target tolerates in any second, in whole requests by rendezvous rank among live, recently lost and registered routers; registrations, starts, ejections and failures seen by others say when a target is cold. Off where no rate is configured.

--- a/include/endivelatch/entry/entry_process_life.hpp
+++ b/include/endivelatch/entry/entry_process_life.hpp
@@ -161,7 +161,8 @@
 traffic_settings entry_process<Protocol>::settings_for_traffic() const
 {
     const auto& bounds = settings_.bounds;
-    return {settings_.domain, bounds.retry_share, bounds.retry_burst, bounds.load_bound};
+    return {settings_.domain,  bounds.retry_share,  bounds.retry_burst,
+            bounds.load_bound, bounds.cold_overage, bounds.cold_slack};
 }
 
 template <entry_protocol Protocol>
@@ -374,14 +375,17 @@
                 return;
             }
             std::vector<endpoint> found;
+            routers_found routers{{key_of(settings_.id), {}}};
             for (const auto& object : value_of(page).objects) {
                 const auto address = Protocol::read_router(object);
                 if (has_value(address)) {
                     found.push_back(value_of(address));
+                    routers.registered.others.push_back(key_of(router_id{object.name}));
                 }
             }
             fleet_.add_seeds(found);
             fleet_.end_lookup();
+            deliver(std::move(routers));
         });
 }
 
--- a/include/endivelatch/entry/entry_settings.hpp
+++ b/include/endivelatch/entry/entry_settings.hpp
@@ -12,9 +12,13 @@
 
 /// Limits set by the deployment. They may change while the process runs.
 struct entry_bounds {
-    double retry_share = 0.2;           ///< Retries per request, over the whole fleet.
-    double retry_burst = 10;            ///< Retries of the fleet allowed without requests.
-    double load_bound = 2;              ///< Maximum load of a target relative to its pool's mean.
+    double retry_share = 0.2; ///< Retries per request, over the whole fleet.
+    double retry_burst = 10;  ///< Retries of the fleet allowed without requests.
+    double load_bound = 2;    ///< Maximum load of a target relative to its pool's mean.
+    /// A cold target gets in any second at most its pool's rate times the overage plus the slack,
+    /// from the whole fleet.
+    double cold_overage = 1;
+    double cold_slack = 0;
     duration stop_grace{8'000'000};     ///< From the stop signal until the process is killed.
     duration entry_lifetime{1'000'000}; ///< How long callers may cache a list of entry addresses.
 
--- a/include/endivelatch/traffic/configuration.hpp
+++ b/include/endivelatch/traffic/configuration.hpp
@@ -3,6 +3,7 @@
 #include "endivelatch/base/ids.hpp"
 #include "endivelatch/base/time.hpp"
 #include "endivelatch/http1/request_reader.hpp"
+#include "endivelatch/traffic/cold_start.hpp"
 #include "endivelatch/traffic/request.hpp"
 
 #include <cstdint>
@@ -63,6 +64,7 @@
     std::string health_path;
     std::uint32_t max_connections = 0; ///< Per target, over all routers.
     std::optional<engine_info> engine;
+    std::optional<cold_start_limit> cold_start; ///< Nothing if targets need no protection.
 };
 
 /// An organisation and the API keys of its callers.
@@ -98,6 +100,9 @@
     /// Returns the pool with the given id, or null.
     const traffic_pool* find_pool(const pool_id& id) const;
 
+    /// Returns all pools.
+    const std::map<pool_id, traffic_pool>& pools() const { return pools_; }
+
     /// Returns the organisation that owns the API key, or null.
     const traffic_organisation* find_organisation(const std::string& key) const;
 
--- a/include/endivelatch/traffic/request.hpp
+++ b/include/endivelatch/traffic/request.hpp
@@ -89,6 +89,7 @@
     std::optional<duration> pause; ///< The target wants no request of this router for so long.
     bool states_limit = false;     ///< States a rate limit, which may be unreadable.
     std::optional<request_rate> request_limit; ///< Requests that the target takes from all routers.
+    std::optional<duration> cold_left;         ///< Time for which the target is cold still.
     std::optional<std::uint64_t> length;       ///< Size of the body in bytes, if known in advance.
 
     /// Returns whether the status is 2xx.
--- a/include/endivelatch/traffic/target_state.hpp
+++ b/include/endivelatch/traffic/target_state.hpp
@@ -5,6 +5,7 @@
 #include "endivelatch/membership/failure_table.hpp"
 #include "endivelatch/membership/load_table.hpp"
 #include "endivelatch/membership/member.hpp"
+#include "endivelatch/traffic/cold_start.hpp"
 #include "endivelatch/traffic/request.hpp"
 #include "endivelatch/traffic/shared_limit.hpp"
 
@@ -26,6 +27,8 @@
     std::uint32_t slots = 0;
     bool is_leaving = false; ///< Drains: finishes its requests and accepts no new ones.
     incarnation started;     ///< Changes with each start of the target; the id may stay.
+    duration cold_left{};    ///< Time for which the target stated to be cold still; zero if warm.
+    std::uint64_t revision = 0; ///< Changes with each new version of the registration.
 
     friend bool operator==(const registered_target&, const registered_target&) = default;
 };
@@ -44,6 +47,7 @@
     limited, ///< This router has used its share of the target's rate limit.
     leaving, ///< It stated in an answer that it is about to stop.
     paused,  ///< It asked this router to send nothing for some time.
+    cold,    ///< It has started recently, and this router has used its share of what it tolerates.
 };
 
 /// A request that this router sent to a target.
@@ -72,6 +76,9 @@
     /// Returns the hash of the target's id, used for rendezvous hashing.
     std::uint64_t hash() const { return hash_; }
 
+    /// Records that the current incarnation has just started.
+    void record_start(time_point now);
+
     /// Records that a request was sent.
     void add_request(const sent_request& request);
 
@@ -131,6 +138,22 @@
     /// most `max_pause` counts.
     void pause(duration length, time_point now);
 
+    /// Sets how many requests targets of the pool get while they are cold.
+    void set_cold_rule(const std::optional<cold_rule>& rule, time_point now);
+
+    /// Sets the routers that may send to the target while it is cold.
+    void set_cold_senders(std::shared_ptr<const cold_sender_view> senders, time_point now);
+
+    /// Records that the target may just have started, or become cold again. It counts as cold for
+    /// the pool's time, unless it states otherwise.
+    void expect_cold(time_point now);
+
+    /// Records the time for which the target stated to be cold still; zero if it is warm.
+    void state_cold(duration left, time_point now);
+
+    /// Returns what is known of the target's cold start.
+    const cold_start& cold() const { return cold_; }
+
     /// Returns why the target must not get a request of this router now, if it must not.
     std::optional<target_obstacle> obstacle(time_point now) const;
 
@@ -245,6 +268,7 @@
     time_point paused_until_{};
     std::optional<shared_limit> limit_;
     time_point limit_stated_at_{}; ///< Time of the last statement, also of none.
+    cold_start cold_;
     time_point ejected_until_{};
     duration next_ejection_time_{base_ejection_time};
     std::array<outcome_entry, outcome_history_size> outcomes_{};
--- a/include/endivelatch/traffic/target_table.hpp
+++ b/include/endivelatch/traffic/target_table.hpp
@@ -2,7 +2,10 @@
 
 #include "endivelatch/traffic/target_state.hpp"
 
+#include <cstddef>
 #include <map>
+#include <memory>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -23,6 +26,15 @@
     /// Updates this router's shares in the limits of targets.
     void update_limit_shares(const router_fleet& fleet, time_point now);
 
+    /// Sets how many requests cold targets get, by pool. Targets of other pools are never cold.
+    void set_cold_rules(const std::map<pool_id, cold_rule>& rules, time_point now);
+
+    /// Sets the routers that may send to cold targets.
+    void set_cold_senders(const cold_sender_view& senders, time_point now);
+
+    /// Returns the targets that count as cold.
+    std::vector<const target_state*> cold(time_point now) const;
+
     /// Returns the targets of the pool that accept new requests.
     const std::vector<target_state*>& ready(const pool_id& pool) const;
 
@@ -35,8 +47,27 @@
     /// Returns whether the registrations have been loaded at least once.
     bool is_known() const { return is_known_; }
 
+    /// Time for which a target is remembered whose registration was removed. Registrations that
+    /// expire while the store is unavailable come back later.
+    static constexpr duration removed_lifetime{60'000'000};
+    /// Maximum number of removed targets that are remembered.
+    static constexpr std::size_t max_removed = 4'096;
+
 private:
+    /// A target whose registration was removed.
+    struct removed_target {
+        incarnation started;
+        time_point at{};
+    };
+
+    void add(const registered_target& registration, time_point now);
+    void remove_except(const std::set<target_id>& present, time_point now);
+    void configure_cold_start(target_state& target, time_point now) const;
+
     std::map<target_id, target_state> targets_;
+    std::map<target_id, removed_target> removed_;
+    std::map<pool_id, cold_rule> cold_rules_;
+    std::shared_ptr<const cold_sender_view> cold_senders_;
     std::unordered_map<target_key, target_state*> by_key_;
     std::map<pool_id, std::vector<target_state*>> ready_;
     std::map<pool_id, std::vector<target_state*>> registered_;
--- a/include/endivelatch/traffic/traffic_event.hpp
+++ b/include/endivelatch/traffic/traffic_event.hpp
@@ -86,6 +86,11 @@
     router_fleet fleet;
 };
 
+/// Routers were found that are registered in the store, whether live or not.
+struct routers_found {
+    router_fleet registered;
+};
+
 /// Load report of a target, passed on by another router.
 struct received_load {
     target_key target;
@@ -142,8 +147,8 @@
 using traffic_event =
     std::variant<request_arrived, caller_disconnected, attempt_broken, answer_begun, answer_bytes,
                  answer_finished, configuration_changed, targets_changed, fleet_changed,
-                 loads_received, failures_received, limits_received, crash_news_received,
-                 stop_announced, exit_announced, timer_due>;
+                 routers_found, loads_received, failures_received, limits_received,
+                 crash_news_received, stop_announced, exit_announced, timer_due>;
 
 /// Returns the name of the event, such as `answer_begun`. The string is never destroyed.
 const char* name_of(const traffic_event& event);
--- a/include/endivelatch/traffic/traffic_router.hpp
+++ b/include/endivelatch/traffic/traffic_router.hpp
@@ -23,6 +23,9 @@
     double retry_share = 0.2; ///< Fleet-wide retries per request.
     double retry_burst = 10;  ///< Fleet-wide retries that need no preceding requests.
     double load_bound = 2;    ///< Maximum load of a target, relative to the mean of its pool.
+    /// A cold target gets in any second at most its pool's rate times the overage plus the slack.
+    double cold_overage = 1;
+    double cold_slack = 0;
 };
 
 /// Routes the requests of an entry router: checks route and API key, selects targets, retries, and
@@ -38,7 +41,7 @@
     std::optional<time_point> next_timer() const;
 
     /// Replaces the settings.
-    void set_settings(const traffic_settings& settings) { settings_ = settings; }
+    void set_settings(const traffic_settings& settings);
 
     /// Returns the number of requests in progress.
     std::size_t active() const { return exchanges_.size(); }
@@ -55,7 +58,7 @@
     /// Returns the metrics of this router.
     counters& metrics() { return metrics_; }
 
-    /// Sets the gauges of the work estimates of all pools.
+    /// Sets the gauges of the work estimates of all pools and of cold targets.
     void update_work_gauges();
 
     /// Maximum attempts per request, including those that targets reported as not run.
@@ -155,6 +158,7 @@
     void on(configuration_changed& e);
     void on(targets_changed& e);
     void on(fleet_changed& e);
+    void on(const routers_found& e);
     void on(const loads_received& e);
     void on(const failures_received& e);
     void on(const limits_received& e);
@@ -203,6 +207,10 @@
     void apply_limit(target_state& target, std::optional<request_rate> limit, time_point stated_at,
                      std::string_view source);
 
+    // Cold targets, in traffic_cold_starts.cpp.
+    void update_cold_rules();
+    void report_cold_start(const target_state& target);
+
     // Answers, in traffic_answers.cpp.
     void handle_refusal(exchange_number number, exchange& it, const target_answer& answer);
     void handle_failure(exchange_number number, exchange& it, target_answer&& answer);
@@ -229,6 +237,7 @@
     std::uint64_t targets_revision_ = 0;
     std::uint32_t routers_ = 1;
     router_fleet fleet_;
+    cold_senders cold_senders_;
     exchange_map exchanges_;
     std::deque<early_request> early_requests_; ///< In order of arrival.
     std::set<std::pair<time_point, exchange_number>> timers_;
--- a/src/traffic/target_choice.cpp
+++ b/src/traffic/target_choice.cpp
@@ -243,16 +243,16 @@
     return a.cost_ms < b.cost_ms || (a.cost_ms == b.cost_ms && a.rank > b.rank);
 }
 
-/// Returns the mean load of the targets without a rate limit, or of all if each has one. Limited
-/// targets hold less than their part, so the others have to hold more.
-double mean_in_flight(const std::vector<candidate>& all)
+/// Returns the mean load of the targets that are not cold and have no rate limit, or of all if
+/// there are none. The others hold less than their part, so these have to hold more.
+double mean_in_flight(const std::vector<candidate>& all, time_point now)
 {
     double total = 0;
     double unlimited_total = 0;
     std::size_t unlimited = 0;
     for (const auto& it : all) {
         total += it.in_flight;
-        if (it.target->limit() == nullptr) {
+        if (it.target->limit() == nullptr && !it.target->cold().is_cold(now)) {
             unlimited_total += it.in_flight;
             ++unlimited;
         }
@@ -357,7 +357,7 @@
         return no_target_reason::none_registered;
     }
     auto all = estimate_load(query, targets, now);
-    const auto mean = mean_in_flight(all);
+    const auto mean = mean_in_flight(all, now);
     mark_homes(query, all, now);
 
     const candidate* best = nullptr;
--- a/src/traffic/target_state.cpp
+++ b/src/traffic/target_state.cpp
@@ -9,22 +9,40 @@
 
 target_state::target_state(registered_target registration, time_point now)
     : registration_{std::move(registration)}, hash_{stable_hash(registration_.id.str())},
-      key_{key_of(registration_.id)}, known_since_{now}
+      key_{key_of(registration_.id)}, known_since_{now}, cold_{hash_}
 {
+    if (registration_.cold_left > duration{}) {
+        cold_.record_statement(registration_.cold_left, now);
+    }
 }
 
 void target_state::update(const registered_target& registration, time_point now)
 {
     if (registration.started != registration_.started ||
         registration.address != registration_.address) {
+        auto cold = std::move(cold_);
         *this = target_state{registration, now};
+        cold_ = std::move(cold);
+        record_start(now);
         return;
     }
+    if (registration.revision != registration_.revision) {
+        cold_.record_statement(registration.cold_left, now);
+    }
     registration_ = registration;
 }
 
+void target_state::record_start(time_point now)
+{
+    cold_.record_statement(registration_.cold_left, now);
+    if (registration_.cold_left == duration{}) {
+        cold_.expect(now, now);
+    }
+}
+
 void target_state::add_request(const sent_request& request)
 {
+    cold_.record_send(request.at);
     ++own_in_flight_;
     prefill_tokens_ += request.prefill_tokens;
     waiting_.push_back(request);
@@ -195,6 +213,26 @@
     paused_until_ = std::max(paused_until_, now + std::min(length, max_pause));
 }
 
+void target_state::set_cold_rule(const std::optional<cold_rule>& rule, time_point now)
+{
+    cold_.set_rule(rule, now);
+}
+
+void target_state::set_cold_senders(std::shared_ptr<const cold_sender_view> senders, time_point now)
+{
+    cold_.set_senders(std::move(senders), now);
+}
+
+void target_state::expect_cold(time_point now)
+{
+    cold_.expect(now, now);
+}
+
+void target_state::state_cold(duration left, time_point now)
+{
+    cold_.record_statement(left, now);
+}
+
 std::optional<target_obstacle> target_state::obstacle(time_point now) const
 {
     if (has_stated_leaving_) {
@@ -206,6 +244,9 @@
     if (limit_ && limit_->wait(now) > duration{}) {
         return target_obstacle::limited;
     }
+    if (cold_.wait(now) > duration{}) {
+        return target_obstacle::cold;
+    }
     if (now < full_until_) {
         return target_obstacle::full;
     }
@@ -217,7 +258,7 @@
     if (has_stated_leaving_) {
         return shared_limit::max_wait;
     }
-    const auto left = std::max(std::max(full_until_, paused_until_) - now, duration{});
+    const auto left = std::max(std::max(full_until_, paused_until_) - now, cold_.wait(now));
     return limit_ ? std::max(left, limit_->wait(now)) : left;
 }
 
@@ -227,6 +268,7 @@
         return; // Caused by an attempt that started before the ejection.
     }
     ejected_until_ = now + next_ejection_time_;
+    cold_.expect(ejected_until_, now); // It may have restarted when it is tried again.
     next_ejection_time_ = std::min(next_ejection_time_ * 2, max_ejection_time);
 }
 
--- a/src/traffic/target_table.cpp
+++ b/src/traffic/target_table.cpp
@@ -1,6 +1,6 @@
 #include "endivelatch/traffic/target_table.hpp"
 
-#include <set>
+#include <optional>
 
 namespace endivelatch {
 
@@ -21,12 +21,9 @@
     std::set<target_id> present;
     for (const auto& it : all) {
         present.insert(it.id);
-        const auto [known, is_new] = targets_.try_emplace(it.id, it, now);
-        if (!is_new) {
-            known->second.update(it, now);
-        }
+        add(it, now);
     }
-    std::erase_if(targets_, [&](const auto& it) { return !present.contains(it.first); });
+    remove_except(present, now);
     by_key_.clear();
     ready_.clear();
     registered_.clear();
@@ -40,6 +37,77 @@
     is_known_ = true;
 }
 
+void target_table::add(const registered_target& registration, time_point now)
+{
+    const auto [known, is_new] = targets_.try_emplace(registration.id, registration, now);
+    auto& target = known->second;
+    if (!is_new) {
+        target.update(registration, now);
+    }
+    else if (is_known_) {
+        const auto removed = removed_.find(registration.id);
+        const bool has_run_before =
+            removed != removed_.end() && removed->second.started == registration.started;
+        if (!has_run_before) {
+            target.record_start(now);
+        }
+    }
+    configure_cold_start(target, now);
+}
+
+void target_table::remove_except(const std::set<target_id>& present, time_point now)
+{
+    for (auto it = targets_.begin(); it != targets_.end();) {
+        if (present.contains(it->first)) {
+            ++it;
+            continue;
+        }
+        removed_[it->first] = {it->second.registration().started, now};
+        it = targets_.erase(it);
+    }
+    std::erase_if(removed_, [&](const auto& it) {
+        return targets_.contains(it.first) || now - it.second.at > removed_lifetime;
+    });
+    if (removed_.size() > max_removed) {
+        removed_.clear();
+    }
+}
+
+void target_table::configure_cold_start(target_state& target, time_point now) const
+{
+    const auto rule = cold_rules_.find(target.registration().pool);
+    target.set_cold_senders(cold_senders_, now);
+    target.set_cold_rule(rule == cold_rules_.end() ? std::nullopt : std::optional{rule->second},
+                         now);
+}
+
+void target_table::set_cold_rules(const std::map<pool_id, cold_rule>& rules, time_point now)
+{
+    cold_rules_ = rules;
+    for (auto& [id, state] : targets_) {
+        configure_cold_start(state, now);
+    }
+}
+
+void target_table::set_cold_senders(const cold_sender_view& senders, time_point now)
+{
+    cold_senders_ = std::make_shared<const cold_sender_view>(senders);
+    for (auto& [id, state] : targets_) {
+        state.set_cold_senders(cold_senders_, now);
+    }
+}
+
+std::vector<const target_state*> target_table::cold(time_point now) const
+{
+    std::vector<const target_state*> all;
+    for (const auto& [id, state] : targets_) {
+        if (state.cold().is_cold(now)) {
+            all.push_back(&state);
+        }
+    }
+    return all;
+}
+
 void target_table::update_limit_shares(const router_fleet& fleet, time_point now)
 {
     for (auto& [id, state] : targets_) {
--- a/src/traffic/traffic_router.cpp
+++ b/src/traffic/traffic_router.cpp
@@ -43,15 +43,22 @@
 {
     // In the order of the variant.
     constexpr std::array<const char*, std::variant_size_v<traffic_event>> names{
-        "request_arrived",     "caller_disconnected", "attempt_broken",        "answer_begun",
-        "answer_bytes",        "answer_finished",     "configuration_changed", "targets_changed",
-        "fleet_changed",       "loads_received",      "failures_received",     "limits_received",
-        "crash_news_received", "stop_announced",      "exit_announced",        "timer_due"};
+        "request_arrived", "caller_disconnected", "attempt_broken",        "answer_begun",
+        "answer_bytes",    "answer_finished",     "configuration_changed", "targets_changed",
+        "fleet_changed",   "routers_found",       "loads_received",        "failures_received",
+        "limits_received", "crash_news_received", "stop_announced",        "exit_announced",
+        "timer_due"};
     return names.at(event.index());
 }
 
 traffic_router::traffic_router(const traffic_settings& settings) : settings_{settings} {}
 
+void traffic_router::set_settings(const traffic_settings& settings)
+{
+    settings_ = settings;
+    update_cold_rules();
+}
+
 traffic_effects traffic_router::handle(traffic_event&& event, time_point now)
 {
     now_ = now;
@@ -80,6 +87,7 @@
                      labels);
         metrics_.set("service_time_us", std::llround(work.service_time_ms() * 1'000), labels);
     }
+    metrics_.set("cold_targets", static_cast<std::int64_t>(targets_.cold(now_).size()));
 }
 
 void traffic_router::on(request_arrived& e)
@@ -224,11 +232,15 @@
             .add("routes", configuration_->route_count()));
     metrics_.set("configuration_version",
                  static_cast<std::int64_t>(configuration_->version().value()));
+    update_cold_rules();
     accept_early_requests();
 }
 
 void traffic_router::on(targets_changed& e)
 {
+    if (cold_senders_.start(now_) || cold_senders_.remove_expired(now_)) {
+        targets_.set_cold_senders(cold_senders_.view(), now_);
+    }
     targets_.replace(e.targets, now_);
     targets_revision_ = e.revision;
     const auto leaving = std::count_if(e.targets.begin(), e.targets.end(),
@@ -238,6 +250,9 @@
             .add("leaving", leaving)
             .add("revision", e.revision));
     metrics_.set("targets", static_cast<std::int64_t>(e.targets.size()));
+    for (const auto* it : targets_.cold(now_)) {
+        report_cold_start(*it);
+    }
     accept_early_requests();
 }
 
@@ -246,12 +261,20 @@
     routers_ = std::max(e.routers, 1U);
     fleet_ = std::move(e.fleet);
     targets_.update_limit_shares(fleet_, now_);
+    cold_senders_.set_live(fleet_, now_);
+    targets_.set_cold_senders(cold_senders_.view(), now_);
     for (auto& [pool, budget] : budgets_) {
         configure_budget(budget);
     }
     metrics_.set("live_routers", routers_);
 }
 
+void traffic_router::on(const routers_found& e)
+{
+    cold_senders_.add_registered(e.registered, now_);
+    targets_.set_cold_senders(cold_senders_.view(), now_);
+}
+
 void traffic_router::on(const loads_received& e)
 {
     for (const auto& it : e.loads) {
@@ -273,6 +296,7 @@
         const bool was_suspected = target->suspicion(now_) > 0;
         target->record_remote_failure(it.reporter, it.failed_at);
         if (target->suspicion(now_) > 0 && !was_suspected) {
+            target->expect_cold(now_ + target_state::suspicion_time);
             metrics_.add("suspicions");
             log(log_event{"target_suspected"}
                     .add("target", target->registration().id)
--- a/src/traffic/traffic_statements.cpp
+++ b/src/traffic/traffic_statements.cpp
@@ -45,6 +45,10 @@
         metrics_.add("targets_stated_leaving");
         log(log_event{"target_leaving"}.add("target", target.registration().id));
     }
+    if (answer.cold_left) {
+        target.state_cold(*answer.cold_left, now_);
+        report_cold_start(target);
+    }
     record_limit(target, answer);
 }
 
--- a/tests/platform_adapter/messages_test.cpp
+++ b/tests/platform_adapter/messages_test.cpp
@@ -157,6 +157,21 @@
     }
 }
 
+TEST(platform_messages, reads_how_long_a_target_is_cold)
+{
+    const auto read = [](const std::string& value) {
+        response_head head;
+        head.status = 200;
+        head.headers = {{"Endivelatch-Cold-Start-Ms", value}};
+        return platform::protocol::read_answer(std::move(head)).cold_left;
+    };
+    EXPECT_EQ(read("1700"), std::chrono::milliseconds{1'700});
+    EXPECT_EQ(read("0"), duration{});
+    for (const char* odd : {"", "-1", "soon", "1.5 s", "99999999999"}) {
+        EXPECT_EQ(read(odd), std::nullopt) << odd;
+    }
+}
+
 TEST(platform_messages, reads_that_a_target_leaves)
 {
     const auto read = [](const std::string& value) {
--- a/tests/platform_adapter/objects_test.cpp
+++ b/tests/platform_adapter/objects_test.cpp
@@ -202,6 +202,41 @@
     }
 }
 
+TEST(platform_objects, reads_how_long_a_target_is_cold)
+{
+    const auto read = [](const std::string& field) {
+        return protocol::read_target(
+            {"i-7", store_revision{9},
+             R"({"Service":"s","Address":"10.0.0.9:80","Zone":"z","State":"ready")" + field + "}"});
+    };
+    EXPECT_EQ(value_of(read("")).cold_left, duration{});
+    EXPECT_EQ(value_of(read("")).revision, 9U);
+    EXPECT_EQ(value_of(read(R"(,"ColdRemainingMs":1700)")).cold_left,
+              std::chrono::milliseconds{1'700});
+    for (const char* odd : {"-1", "\"soon\"", "1e30", "null"}) {
+        EXPECT_FALSE(has_value(read(std::string{",\"ColdRemainingMs\":"} + odd))) << odd;
+    }
+}
+
+TEST(platform_objects, reads_the_cold_start_limit_of_a_pool)
+{
+    const auto read = [](const std::string& fields) {
+        return protocol::read_configuration(
+            {"main", store_revision{1},
+             R"({"Version":1,"Routes":[],"Services":[{"Name":"s")" + fields + "}]}"});
+    };
+    const auto limited = read(R"(,"ColdStartS":2.5,"ColdPerS":11.0)");
+    ASSERT_TRUE(has_value(limited));
+    const auto* pool = value_of(limited).find_pool(pool_id{"s"});
+    ASSERT_TRUE(pool->cold_start);
+    EXPECT_EQ(pool->cold_start->time, std::chrono::milliseconds{2'500});
+    EXPECT_DOUBLE_EQ(pool->cold_start->rate.per_second, 11);
+    EXPECT_FALSE(value_of(read("")).find_pool(pool_id{"s"})->cold_start);
+    for (const char* odd : {"-1", "\"11\"", "1e300", "null"}) {
+        EXPECT_FALSE(has_value(read(std::string{R"(,"ColdStartS":3,"ColdPerS":)"} + odd))) << odd;
+    }
+}
+
 TEST(platform_objects, reads_a_configuration)
 {
     const auto read = protocol::read_configuration(
--- a/tests/platform_adapter/settings_test.cpp
+++ b/tests/platform_adapter/settings_test.cpp
@@ -28,6 +28,8 @@
 RetryBudgetRatio = 0.25
 RetrySlack = 52
 CapFactor = 3
+ColdOverage = 1.5
+ColdSlack = 5
 ttl_max_s = 5
 [Platform]
 Address = "10.200.1.7:8223"
@@ -51,6 +53,8 @@
     EXPECT_DOUBLE_EQ(settings.bounds.retry_share, 0.25);
     EXPECT_DOUBLE_EQ(settings.bounds.retry_burst, 52);
     EXPECT_DOUBLE_EQ(settings.bounds.load_bound, 3);
+    EXPECT_DOUBLE_EQ(settings.bounds.cold_overage, 1.5);
+    EXPECT_DOUBLE_EQ(settings.bounds.cold_slack, 5);
     EXPECT_EQ(settings.bounds.stop_grace, std::chrono::seconds{8});
     EXPECT_LE(settings.bounds.entry_lifetime, std::chrono::seconds{5});
 }
