Evacuation of failure domains

The operator's objects that ask for nothing more to be sent to the targets of a failure domain were not read at all. Evacuated targets are not ready: no first attempt, retry or resumed stream goes there; their prompts move to the next home and come back. A starting router waits for the evacuations, up to 2 s. If a pool has evacuated targets only, requests are refused at once.

--- a/include/endivelatch/entry/entry_process.hpp
+++ b/include/endivelatch/entry/entry_process.hpp
@@ -83,12 +83,16 @@
     // Copies and the fleet.
     void configuration_updated();
     void targets_updated();
+    void start_reading_evacuations();
+    void evacuations_updated();
+    std::vector<object_kind> kinds_read() const;
     void announce();
     void find_peers();
     void on_pause(duration delay);
 
     // Lifecycle of the process.
     bool is_ready() const { return router_.is_ready() && !is_stopping_; }
+    void on_router_timer();
     void publish_ready();
     void housekeep();
     void reload(std::string_view cause);
@@ -125,6 +129,7 @@
     call_client call_client_;
     mirror_client<Protocol> configuration_mirror_;
     mirror_client<Protocol> target_mirror_;
+    mirror_client<Protocol> evacuation_mirror_; ///< Started only if evacuations are read.
     fleet_view fleet_;
 
     std::map<exchange_attempt, outgoing_id> requests_by_attempt_;
@@ -139,6 +144,7 @@
     std::map<exchange_number, copy_waiter> copy_waiters_;
     std::map<std::string, store_revision>
         unreadable_revisions_; ///< Of the invalid registrations, which were logged.
+    bool reads_evacuations_ = false;
     bool was_ready_ = false;
     bool is_stopping_ = false;
     bool has_ended_requests_ = false; ///< The time to stop is over.
--- a/include/endivelatch/entry/entry_process_life.hpp
+++ b/include/endivelatch/entry/entry_process_life.hpp
@@ -83,14 +83,25 @@
                       [this] { return fleet_.watchers_to_follow(); },
                       [this] { return fleet_.is_joining(); },
                       [this](log_event&& e) { write(std::move(e)); }}},
+      evacuation_mirror_{loop,
+                         call_client_,
+                         object_kind::evacuations,
+                         settings.store,
+                         mirror_settings{.first_list_may_be_stale = true, .may_be_absent = true},
+                         stable_hash(settings.id.str()) + 2,
+                         {[this] { evacuations_updated(); }, [this] { return fleet_.live_peers(); },
+                          [this] { return fleet_.watchers_to_follow(); },
+                          [this] { return fleet_.is_joining(); },
+                          [this](log_event&& e) { write(std::move(e)); }}},
       fleet_{loop,
              settings,
              incarnation{static_cast<std::uint64_t>(
                  std::chrono::system_clock::now().time_since_epoch() / duration{1'000})},
              {[this] {
                   deliver(fleet_changed{fleet_.live_count(), fleet_.live_fleet()});
-                  configuration_mirror_.on_peers_changed();
-                  target_mirror_.on_peers_changed();
+                  for (const auto kind : kinds_read()) {
+                      mirror_of(kind).on_peers_changed();
+                  }
               },
               [this](object_kind kind, const member& holder, store_revision revision) {
                   mirror_of(kind).on_newer_copy(holder.link, revision);
@@ -108,8 +119,8 @@
               [this] { return router_.crashes().next_news(loop_->now()); },
               [this](duration delay) { on_pause(delay); },
               [this](log_event&& e) { write(std::move(e)); }}},
-      router_timer_{loop, [this] { deliver(timer_due{}); }}, housekeeping_{loop,
-                                                                           [this] { housekeep(); }},
+      router_timer_{loop, [this] { on_router_timer(); }}, housekeeping_{loop,
+                                                                        [this] { housekeep(); }},
       stop_timer_{loop, [this] { check_stop(); }}, peer_lookup_timer_{loop,
                                                                       [this] { find_peers(); }},
       copy_waiters_timer_{loop, [this] { answer_copy_waiters(); }},
@@ -145,6 +156,7 @@
     }
     configuration_mirror_.start();
     target_mirror_.start();
+    start_reading_evacuations();
     announce();
     housekeep();
     find_peers();
@@ -161,7 +173,8 @@
 traffic_settings entry_process<Protocol>::settings_for_traffic() const
 {
     const auto& bounds = settings_.bounds;
-    return {settings_.domain, bounds.retry_share, bounds.retry_burst, bounds.load_bound};
+    return {settings_.domain, bounds.retry_share, bounds.retry_burst, bounds.load_bound,
+            bounds.evacuation_time.has_value()};
 }
 
 template <entry_protocol Protocol>
@@ -213,7 +226,16 @@
 template <entry_protocol Protocol>
 mirror_client<Protocol>& entry_process<Protocol>::mirror_of(object_kind kind)
 {
-    return kind == object_kind::configuration ? configuration_mirror_ : target_mirror_;
+    switch (kind) {
+    case object_kind::configuration:
+        return configuration_mirror_;
+    case object_kind::evacuations:
+        return evacuation_mirror_;
+    case object_kind::targets:
+    case object_kind::routers:
+        break;
+    }
+    return target_mirror_;
 }
 
 template <entry_protocol Protocol>
@@ -239,8 +261,8 @@
         peer_server_.respond(id, status, {}, {});
         return;
     }
-    copy_waiters_.emplace(id,
-                          copy_waiter{*query, loop_->now() + mirror_client<Protocol>::peer_wait});
+    copy_waiters_.emplace(
+        id, copy_waiter{*query, loop_->now() + mirror_client<Protocol>::wait_of(*query)});
     if (!copy_waiters_timer_.is_active()) {
         copy_waiters_timer_.start(copy_waiters_interval);
     }
@@ -342,6 +364,38 @@
     publish_ready();
 }
 
+template <entry_protocol Protocol>
+void entry_process<Protocol>::start_reading_evacuations()
+{
+    if (settings_.bounds.evacuation_time && !std::exchange(reads_evacuations_, true)) {
+        evacuation_mirror_.start();
+    }
+}
+
+template <entry_protocol Protocol>
+void entry_process<Protocol>::evacuations_updated()
+{
+    const auto& mirror = evacuation_mirror_.mirror();
+    fleet_.publish_copy(object_kind::evacuations, mirror.revision());
+    answer_copy_waiters();
+    evacuations_changed changed{{}, mirror.revision().value()};
+    for (const auto* object : mirror.objects_in_use()) {
+        changed.domains.insert(Protocol::read_evacuation(*object));
+    }
+    deliver(std::move(changed));
+    publish_ready();
+}
+
+template <entry_protocol Protocol>
+std::vector<object_kind> entry_process<Protocol>::kinds_read() const
+{
+    std::vector<object_kind> kinds{object_kind::configuration, object_kind::targets};
+    if (reads_evacuations_) {
+        kinds.push_back(object_kind::evacuations);
+    }
+    return kinds;
+}
+
 template <entry_protocol Protocol>
 void entry_process<Protocol>::announce()
 {
@@ -389,8 +443,16 @@
 void entry_process<Protocol>::on_pause(duration delay)
 {
     write(log_event{"paused"}.add("ms", delay.count() / 1'000));
-    configuration_mirror_.refresh();
-    target_mirror_.refresh();
+    for (const auto kind : kinds_read()) {
+        mirror_of(kind).refresh();
+    }
+}
+
+template <entry_protocol Protocol>
+void entry_process<Protocol>::on_router_timer()
+{
+    deliver(timer_due{});
+    publish_ready();
 }
 
 template <entry_protocol Protocol>
@@ -413,7 +475,7 @@
     router_.update_work_gauges();
     auto& metrics = router_.metrics();
     metrics.set("ready", is_ready() ? 1 : 0);
-    for (const auto kind : {object_kind::configuration, object_kind::targets}) {
+    for (const auto kind : kinds_read()) {
         const auto labels = "kind=\"" + std::string{to_string(kind)} + '"';
         const auto& mirror = mirror_of(kind).mirror();
         metrics.set("store_connected", mirror.is_connected() ? 1 : 0, labels);
@@ -442,6 +504,7 @@
     }
     const bool has_changed_bounds = value_of(read).bounds != settings_.bounds;
     settings_.bounds = value_of(read).bounds;
+    start_reading_evacuations();
     router_.set_settings(settings_for_traffic());
     fleet_.add_seeds(value_of(read).seeds);
     write(log_event{"settings_reloaded"}
--- a/include/endivelatch/entry/entry_settings.hpp
+++ b/include/endivelatch/entry/entry_settings.hpp
@@ -17,6 +17,9 @@
     double load_bound = 2;              ///< Maximum load of a target relative to its pool's mean.
     duration stop_grace{8'000'000};     ///< From the stop signal until the process is killed.
     duration entry_lifetime{1'000'000}; ///< How long callers may cache a list of entry addresses.
+    /// Time within which all routers have to apply an evacuation. Nothing if the operator does not
+    /// evacuate failure domains; then evacuations are not read.
+    std::optional<duration> evacuation_time;
 
     friend bool operator==(const entry_bounds&, const entry_bounds&) = default;
 };
--- a/include/endivelatch/entry/fleet_status.hpp
+++ b/include/endivelatch/entry/fleet_status.hpp
@@ -23,6 +23,10 @@
 
     /// Returns the value of a metric, named without the prefix `endivelatch_`; zero if missing.
     std::int64_t value(std::string_view name) const;
+
+    /// Returns whether the router has the metric. It has those of evacuations only if it reads
+    /// them.
+    bool has(std::string_view name) const;
 };
 
 /// Returns the problems of the fleet: routers that do not answer, are not ready, have lost their
--- a/include/endivelatch/entry/mirror_client.hpp
+++ b/include/endivelatch/entry/mirror_client.hpp
@@ -89,6 +89,13 @@
         }
     }
 
+    /// Returns the maximum time that a query of another router waits for a newer copy.
+    static duration wait_of(const copy_query& query)
+    {
+        const bool is_rare = query.kind == object_kind::evacuations && query.from_watcher;
+        return is_rare ? evacuations_follow_wait : peer_wait;
+    }
+
     /// Returns the answer to a copy query of another router. A copy is small if it has at most
     /// `max_small_size` bytes.
     copy_answer answer(const copy_query& query, std::size_t max_small_size) const
@@ -122,7 +129,10 @@
     /// Maximum time that a peer waits for a newer copy before it answers; then another peer is
     /// queried.
     static constexpr duration peer_wait{700'000};
-    /// Added to `peer_wait` for the timeout of a query to the followed watcher.
+    /// The same for followers of evacuations, which are rare: each query costs both routers
+    /// processor time.
+    static constexpr duration evacuations_follow_wait{2'000'000};
+    /// Added to the wait for the timeout of a query to the followed watcher.
     static constexpr duration follow_timeout_margin{300'000};
     /// Delays before the next query after a peer failed to answer, and after it had no newer copy.
     static constexpr duration peer_retry_delay{200'000};
@@ -187,7 +197,7 @@
         watchers.pop_back();
         const copy_query query{kind_, mirror_.revision(), true, mirror_.is_exact(), true};
         call_ = calls_->call(
-            {watcher, "GET", write_copy_query(query), {}, peer_wait + follow_timeout_margin},
+            {watcher, "GET", write_copy_query(query), {}, wait_of(query) + follow_timeout_margin},
             [this, e, since = query.newer_than,
              others = std::move(watchers)](call_outcome&& outcome) mutable {
                 call_.reset();
@@ -268,6 +278,11 @@
                                      log("store_history_gone", "");
                                      apply(mirror_.handle_history_expired(now()));
                                  }
+                                 else if (reply.status == kind_absent_status &&
+                                          mirror_.may_be_absent()) {
+                                     report_success();
+                                     apply(mirror_.handle_kind_absent(now()));
+                                 }
                                  else if (reply.status != store_ok_status) {
                                      report_failure("status " + std::to_string(reply.status));
                                  }
@@ -440,6 +455,7 @@
 
     static constexpr int store_ok_status = 200;
     static constexpr int history_gone_status = 410;
+    static constexpr int kind_absent_status = 404;
     static constexpr duration min_timer_delay{1'000};
 
     event_loop* loop_;
--- a/include/endivelatch/entry/protocol.hpp
+++ b/include/endivelatch/entry/protocol.hpp
@@ -20,6 +20,7 @@
 enum class object_kind {
     configuration, ///< A single object: the traffic configuration.
     targets,       ///< One object per registered target.
+    evacuations,   ///< One object per evacuated failure domain, written by the operator.
     routers,       ///< One object per entry router, written by that router.
 };
 
@@ -68,6 +69,7 @@
     { P::write_changes(changes) } -> std::same_as<std::string>;
     { P::read_configuration(object) } -> std::same_as<result<traffic_configuration>>;
     { P::read_target(object) } -> std::same_as<result<registered_target>>;
+    { P::read_evacuation(object) } -> std::same_as<domain_id>;
     { P::read_router(object) } -> std::same_as<result<endpoint>>;
     // clang-format on
 };
--- a/include/endivelatch/mirror/object_mirror.hpp
+++ b/include/endivelatch/mirror/object_mirror.hpp
@@ -86,6 +86,10 @@
     /// Whether the first list may be seconds old, which is cheaper for the store. The watch after
     /// it starts at the revision of the list, so it reports what the list lacks.
     bool first_list_may_be_stale = false;
+    /// Whether the store may answer that it does not know the kind as long as there are no objects.
+    bool may_be_absent = false;
+    /// Time until the next call after such an answer.
+    duration absent_kind_delay{1'000'000};
 };
 
 /// Maintains the copy and decides on the next call. A pure state machine without I/O or clock.
@@ -126,6 +130,9 @@
     /// Handles the response that the platform no longer has the changes since the watched revision.
     mirror_effects handle_history_expired(time_point now);
 
+    /// Handles the response that the store does not know the kind, which then has no objects.
+    mirror_effects handle_kind_absent(time_point now);
+
     /// Handles a call that failed or timed out.
     mirror_effects handle_call_failure(time_point now);
 
@@ -151,6 +158,9 @@
     /// be passed on.
     bool is_exact() const { return is_synced_ && revision_ >= exact_from_; }
 
+    /// Returns whether the store may not know the kind.
+    bool may_be_absent() const { return settings_.may_be_absent; }
+
     /// Returns whether the last call succeeded.
     bool is_connected() const { return is_connected_; }
 
--- a/include/endivelatch/traffic/target_choice.hpp
+++ b/include/endivelatch/traffic/target_choice.hpp
@@ -42,6 +42,7 @@
 /// Reason why no target was selected.
 enum class no_target_reason {
     none_registered, ///< The pool has no target that accepts new requests.
+    all_evacuated,   ///< As before, and some are in evacuated failure domains.
     all_tried,       ///< Every target of the pool was already tried.
     all_full,        ///< Every untried target refused a request recently.
     all_decline,     ///< As before, or it stated that it wants no request of this router now.
--- a/include/endivelatch/traffic/target_state.hpp
+++ b/include/endivelatch/traffic/target_state.hpp
@@ -40,10 +40,11 @@
 
 /// Reason why a target must not get a request now.
 enum class target_obstacle {
-    full,    ///< It refused a request within `target_state::full_duration`.
-    limited, ///< This router has used its share of the target's rate limit.
-    leaving, ///< It stated in an answer that it is about to stop.
-    paused,  ///< It asked this router to send nothing for some time.
+    full,      ///< It refused a request within `target_state::full_duration`.
+    limited,   ///< This router has used its share of the target's rate limit.
+    leaving,   ///< It stated in an answer that it is about to stop.
+    paused,    ///< It asked this router to send nothing for some time.
+    evacuated, ///< The operator has evacuated its failure domain.
 };
 
 /// A request that this router sent to a target.
@@ -66,7 +67,7 @@
     /// Updates the registration. A restart or a new address resets all other state.
     void update(const registered_target& registration, time_point now);
 
-    /// Returns when this incarnation of the target was first seen.
+    /// Returns when this incarnation of the target was first seen, or its last evacuation ended.
     time_point known_since() const { return known_since_; }
 
     /// Returns the hash of the target's id, used for rendezvous hashing.
@@ -131,6 +132,19 @@
     /// most `max_pause` counts.
     void pause(duration length, time_point now);
 
+    /// Sets whether the target's failure domain is evacuated. After the end of an evacuation the
+    /// target counts as one that has just joined and may be cold.
+    void set_evacuated(bool is_evacuated, time_point now);
+
+    /// Returns whether the target's failure domain is evacuated.
+    bool is_evacuated() const { return evacuated_since_.has_value(); }
+
+    /// Records that the target may be cold although its registration does not say so.
+    void expect_cold(time_point now);
+
+    /// Returns whether other targets may fetch cached prompt parts from this one.
+    bool serves_fetches(time_point now) const;
+
     /// Returns why the target must not get a request of this router now, if it must not.
     std::optional<target_obstacle> obstacle(time_point now) const;
 
@@ -176,6 +190,9 @@
     static constexpr duration full_duration{200'000};
     /// Longest pause that a target may ask for.
     static constexpr duration max_pause{60'000'000};
+    /// Time for which other targets still fetch prompt parts from an evacuated target: most prompts
+    /// in use have then moved to their new homes.
+    static constexpr duration evacuated_fetch_time{2'000'000};
     /// Number of recent attempts considered for ejection.
     static constexpr std::size_t outcome_history_size = 8;
     /// Number of failures among them that ejects a target.
@@ -243,6 +260,7 @@
     time_point full_until_{};
     bool has_stated_leaving_ = false;
     time_point paused_until_{};
+    std::optional<time_point> evacuated_since_;
     std::optional<shared_limit> limit_;
     time_point limit_stated_at_{}; ///< Time of the last statement, also of none.
     time_point ejected_until_{};
--- a/include/endivelatch/traffic/traffic_event.hpp
+++ b/include/endivelatch/traffic/traffic_event.hpp
@@ -8,6 +8,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -80,6 +81,12 @@
     std::uint64_t revision = 0; ///< Revision of the platform's target list, for logs.
 };
 
+/// The evacuated failure domains were read, or have changed.
+struct evacuations_changed {
+    std::set<domain_id> domains;
+    std::uint64_t revision = 0; ///< Revision of the platform's list of evacuations, for logs.
+};
+
 /// The live routers have changed.
 struct fleet_changed {
     std::uint32_t routers = 1; ///< Including this router.
@@ -141,9 +148,9 @@
 
 using traffic_event =
     std::variant<request_arrived, caller_disconnected, attempt_broken, answer_begun, answer_bytes,
-                 answer_finished, configuration_changed, targets_changed, fleet_changed,
-                 loads_received, failures_received, limits_received, crash_news_received,
-                 stop_announced, exit_announced, timer_due>;
+                 answer_finished, configuration_changed, targets_changed, evacuations_changed,
+                 fleet_changed, loads_received, failures_received, limits_received,
+                 crash_news_received, stop_announced, exit_announced, timer_due>;
 
 /// Returns the name of the event, such as `answer_begun`. The string is never destroyed.
 const char* name_of(const traffic_event& event);
--- a/include/endivelatch/traffic/traffic_router.hpp
+++ b/include/endivelatch/traffic/traffic_router.hpp
@@ -19,10 +19,11 @@
 
 /// Settings of the traffic router.
 struct traffic_settings {
-    domain_id domain;         ///< Failure domain of this router.
-    double retry_share = 0.2; ///< Fleet-wide retries per request.
-    double retry_burst = 10;  ///< Fleet-wide retries that need no preceding requests.
-    double load_bound = 2;    ///< Maximum load of a target, relative to the mean of its pool.
+    domain_id domain;               ///< Failure domain of this router.
+    double retry_share = 0.2;       ///< Fleet-wide retries per request.
+    double retry_burst = 10;        ///< Fleet-wide retries that need no preceding requests.
+    double load_bound = 2;          ///< Maximum load of a target, relative to the mean of its pool.
+    bool reads_evacuations = false; ///< `evacuations_changed` follows, also if there are none.
 };
 
 /// Routes the requests of an entry router: checks route and API key, selects targets, retries, and
@@ -38,7 +39,7 @@
     std::optional<time_point> next_timer() const;
 
     /// Replaces the settings.
-    void set_settings(const traffic_settings& settings) { settings_ = settings; }
+    void set_settings(const traffic_settings& settings);
 
     /// Returns the number of requests in progress.
     std::size_t active() const { return exchanges_.size(); }
@@ -46,8 +47,9 @@
     /// Returns the current configuration, or null.
     const traffic_configuration* configuration() const { return configuration_.get(); }
 
-    /// Returns whether configuration and targets have been loaded, which serving requires.
-    bool is_ready() const { return configuration_ != nullptr && targets_.is_known(); }
+    /// Returns whether what serving requires has been loaded: configuration, targets and, if
+    /// they are read, evacuations. The latter are waited for up to `max_evacuations_wait`.
+    bool is_ready() const { return has_routes_and_targets() && !awaits_evacuations(); }
 
     /// Returns the evidence of prompt parts that crash targets.
     crash_evidence& crashes() { return crashes_; }
@@ -83,6 +85,13 @@
     static constexpr duration early_request_wait{150'000};
     /// Maximum number of requests that wait for configuration and targets.
     static constexpr std::size_t max_early_requests = 1'000;
+    /// Maximum time from loading configuration and targets until requests are accepted without
+    /// knowing the evacuations. Other routers tell them within a few ms if the store does not.
+    static constexpr duration max_evacuations_wait{2'000'000};
+    /// Bounds of the Retry-After while all targets of a pool are evacuated. It differs between
+    /// requests, so that callers do not return all at once.
+    static constexpr duration min_evacuated_retry_after{1'000'000};
+    static constexpr duration max_evacuated_retry_after{3'000'000};
     /// Retry-After while configuration or targets are not loaded.
     static constexpr duration unknown_retry_after{500'000};
     /// Retry-After when no target accepts the request. Longer than `target_state::full_duration`,
@@ -154,6 +163,7 @@
     void on(answer_finished& e);
     void on(configuration_changed& e);
     void on(targets_changed& e);
+    void on(const evacuations_changed& e);
     void on(fleet_changed& e);
     void on(const loads_received& e);
     void on(const failures_received& e);
@@ -174,6 +184,14 @@
                         std::string_view reason,
                         std::optional<duration> retry_after = std::nullopt);
 
+    // Evacuations, in traffic_evacuations.cpp.
+    bool has_routes_and_targets() const { return configuration_ != nullptr && targets_.is_known(); }
+    bool awaits_evacuations() const;
+    void start_evacuations_wait();
+    void end_evacuations_wait();
+    void update_evacuation_gauges();
+    static duration evacuated_retry_after(const exchange& it);
+
     // Attempts, in traffic_attempts.cpp.
     void start_next_attempt(exchange_number number, exchange& it);
     void send_attempt(exchange_number number, exchange& it, const chosen_target& chosen);
@@ -227,6 +245,9 @@
     std::shared_ptr<const traffic_configuration> configuration_;
     target_table targets_;
     std::uint64_t targets_revision_ = 0;
+    std::set<domain_id> evacuated_domains_;
+    bool has_awaited_evacuations_ = false; ///< They are known, or the wait for them is over.
+    std::optional<time_point> evacuations_due_at_; ///< End of the wait for them.
     std::uint32_t routers_ = 1;
     router_fleet fleet_;
     exchange_map exchanges_;
--- a/src/entry/copy_query.cpp
+++ b/src/entry/copy_query.cpp
@@ -61,7 +61,8 @@
     if (parsed.ec != std::errc{} || parsed.ptr != number.data() + number.size()) {
         return std::nullopt;
     }
-    for (const auto kind : {object_kind::configuration, object_kind::targets}) {
+    for (const auto kind :
+         {object_kind::configuration, object_kind::targets, object_kind::evacuations}) {
         if (target.substr(0, query_start) == copy_path(kind)) {
             return copy_query{kind, store_revision{revision}, from_watcher, accepts_changes,
                               small_only};
--- a/src/entry/fleet_status.cpp
+++ b/src/entry/fleet_status.cpp
@@ -75,6 +75,11 @@
     return it == values.end() ? 0 : it->second;
 }
 
+bool router_status::has(std::string_view name) const
+{
+    return values.contains("endivelatch_" + std::string{name});
+}
+
 std::vector<std::string> find_problems(const std::vector<router_status>& fleet)
 {
     const auto newest_version = max_value(fleet, "configuration_version");
@@ -96,8 +101,10 @@
                         std::to_string(router.value("configuration_version")) + ", others hold " +
                         std::to_string(newest_version));
         }
-        for (const auto* kind : {"configuration", "targets"}) {
-            if (router.value("store_connected{kind=\"" + std::string{kind} + "\"}") == 0) {
+        for (const auto* kind : {"configuration", "targets", "evacuations"}) {
+            const auto name = "store_connected{kind=\"" + std::string{kind} + "\"}";
+            const bool is_read = kind != std::string_view{"evacuations"} || router.has(name);
+            if (is_read && router.value(name) == 0) {
                 add_problem("has lost contact with the store (" + std::string{kind} + ")");
             }
         }
--- a/src/entry/fleet_view.cpp
+++ b/src/entry/fleet_view.cpp
@@ -23,7 +23,8 @@
 
 std::optional<object_kind> kind_of(const summary_key& key)
 {
-    for (const auto kind : {object_kind::configuration, object_kind::targets}) {
+    for (const auto kind :
+         {object_kind::configuration, object_kind::targets, object_kind::evacuations}) {
         if (key == copy_key(kind)) {
             return kind;
         }
@@ -88,6 +89,8 @@
         return "configuration";
     case object_kind::targets:
         return "targets";
+    case object_kind::evacuations:
+        return "evacuations";
     case object_kind::routers:
         return "routers";
     }
--- a/src/mirror/object_mirror.cpp
+++ b/src/mirror/object_mirror.cpp
@@ -188,6 +188,21 @@
     return list_from({});
 }
 
+mirror_effects object_mirror::handle_kind_absent(time_point now)
+{
+    record_response(now);
+    mirror_effects effects;
+    if (!is_synced_ || !objects_.empty()) {
+        // The response names no revision. The objects were removed after that of the copy.
+        const store_revision revision{revision_.value() + (objects_.empty() ? 0 : 1)};
+        replace_all({}, revision, revision, now);
+        effects.emplace_back(mirror_updated{});
+    }
+    next_call_is_list_ = false;
+    retry_at_ = now + settings_.absent_kind_delay;
+    return effects;
+}
+
 mirror_effects object_mirror::handle_call_failure(time_point now)
 {
     is_connected_ = false;
--- a/src/traffic/target_choice.cpp
+++ b/src/traffic/target_choice.cpp
@@ -271,8 +271,7 @@
     const target_state* source = nullptr;
     for (const auto* it : table.registered(query.pool)) {
         const auto tokens = it->cached_tokens(shared, now);
-        if (tokens > most && it != chosen.target && !it->is_ejected(now) &&
-            it->suspicion(now) == 0) {
+        if (tokens > most && it != chosen.target && it->serves_fetches(now)) {
             most = tokens;
             source = it;
         }
@@ -281,9 +280,10 @@
 }
 
 /// Returns the previous home of the prompt: the target with the highest rendezvous weight other
-/// than the chosen one, including leaving targets. Targets that joined recently are excluded, as
-/// they have cached little. If the chosen target is the home, targets that did not join well before
-/// it are excluded too, since they have cached no more than it.
+/// than the chosen one, including leaving targets and those evacuated a moment ago. Targets that
+/// joined recently are excluded, as they have cached little. If the chosen target is the home,
+/// targets that did not join well before it are excluded too, since they have cached no more than
+/// it, unless they are evacuated: then they may have been the home until now.
 const target_state* find_previous_home(const target_table& table, const choice_query& query,
                                        const candidate& chosen, time_point now)
 {
@@ -292,10 +292,9 @@
     const target_state* source = nullptr;
     std::uint64_t best = 0;
     for (const auto* it : table.registered(query.pool)) {
-        const bool is_warm = it->known_since() <= joined_before;
+        const bool is_warm = it->known_since() <= joined_before || it->is_evacuated();
         const auto weight = rendezvous_weight(placement, it->hash());
-        if (it != chosen.target && is_warm && !it->is_ejected(now) && it->suspicion(now) == 0 &&
-            weight > best) {
+        if (it != chosen.target && is_warm && it->serves_fetches(now) && weight > best) {
             best = weight;
             source = it;
         }
@@ -332,6 +331,8 @@
     switch (reason) {
     case no_target_reason::none_registered:
         return "none_registered";
+    case no_target_reason::all_evacuated:
+        return "all_evacuated";
     case no_target_reason::all_tried:
         return "all_tried";
     case no_target_reason::all_full:
@@ -354,7 +355,8 @@
 {
     const auto& targets = table.ready(query.pool);
     if (targets.empty()) {
-        return no_target_reason::none_registered;
+        return table.has_evacuated(query.pool) ? no_target_reason::all_evacuated
+                                               : no_target_reason::none_registered;
     }
     auto all = estimate_load(query, targets, now);
     const auto mean = mean_in_flight(all);
--- a/src/traffic/target_state.cpp
+++ b/src/traffic/target_state.cpp
@@ -195,8 +195,33 @@
     paused_until_ = std::max(paused_until_, now + std::min(length, max_pause));
 }
 
+void target_state::set_evacuated(bool is_evacuated, time_point now)
+{
+    if (is_evacuated == evacuated_since_.has_value()) {
+        return;
+    }
+    if (is_evacuated) {
+        evacuated_since_ = now;
+        return;
+    }
+    evacuated_since_.reset();
+    known_since_ = now; // Its prompts have moved, so it has cached as little as one that joins.
+    expect_cold(now);
+}
+
+void target_state::expect_cold(time_point /*now*/) {}
+
+bool target_state::serves_fetches(time_point now) const
+{
+    const bool has_moved = evacuated_since_ && now - *evacuated_since_ >= evacuated_fetch_time;
+    return !has_moved && !is_ejected(now) && suspicion(now) == 0;
+}
+
 std::optional<target_obstacle> target_state::obstacle(time_point now) const
 {
+    if (is_evacuated()) {
+        return target_obstacle::evacuated;
+    }
     if (has_stated_leaving_) {
         return target_obstacle::leaving;
     }
@@ -214,7 +239,7 @@
 
 duration target_state::obstacle_left(time_point now) const
 {
-    if (has_stated_leaving_) {
+    if (is_evacuated() || has_stated_leaving_) {
         return shared_limit::max_wait;
     }
     const auto left = std::max(std::max(full_until_, paused_until_) - now, duration{});
--- a/src/traffic/target_table.cpp
+++ b/src/traffic/target_table.cpp
@@ -1,6 +1,6 @@
 #include "endivelatch/traffic/target_table.hpp"
 
-#include <set>
+#include <algorithm>
 
 namespace endivelatch {
 
@@ -25,19 +25,46 @@
         if (!is_new) {
             known->second.update(it, now);
         }
+        known->second.set_evacuated(evacuated_domains_.contains(it.domain), now);
     }
     std::erase_if(targets_, [&](const auto& it) { return !present.contains(it.first); });
+    update_indexes();
+    is_known_ = true;
+}
+
+void target_table::set_evacuated(const std::set<domain_id>& domains, time_point now)
+{
+    evacuated_domains_ = domains;
+    for (auto& [id, state] : targets_) {
+        state.set_evacuated(domains.contains(state.registration().domain), now);
+    }
+    update_indexes();
+}
+
+std::size_t target_table::evacuated_count() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        targets_.begin(), targets_.end(), [](const auto& it) { return it.second.is_evacuated(); }));
+}
+
+bool target_table::has_evacuated(const pool_id& pool) const
+{
+    const auto& all = registered(pool);
+    return std::any_of(all.begin(), all.end(), [](const auto* it) { return it->is_evacuated(); });
+}
+
+void target_table::update_indexes()
+{
     by_key_.clear();
     ready_.clear();
     registered_.clear();
     for (auto& [id, state] : targets_) {
         by_key_.emplace(state.key(), &state);
         registered_[state.registration().pool].push_back(&state);
-        if (!state.registration().is_leaving) {
+        if (!state.registration().is_leaving && !state.is_evacuated()) {
             ready_[state.registration().pool].push_back(&state);
         }
     }
-    is_known_ = true;
 }
 
 void target_table::update_limit_shares(const router_fleet& fleet, time_point now)
--- a/src/traffic/traffic_arrivals.cpp
+++ b/src/traffic/traffic_arrivals.cpp
@@ -31,6 +31,7 @@
 
 void traffic_router::accept_early_requests()
 {
+    start_evacuations_wait();
     if (!is_ready()) {
         return;
     }
--- a/src/traffic/traffic_attempts.cpp
+++ b/src/traffic/traffic_attempts.cpp
@@ -63,6 +63,8 @@
         return late_retry_after(it);
     case no_target_reason::all_decline:
         return decline_retry_after(it);
+    case no_target_reason::all_evacuated:
+        return evacuated_retry_after(it);
     case no_target_reason::none_registered:
     case no_target_reason::all_tried:
     case no_target_reason::all_full:
--- a/src/traffic/traffic_router.cpp
+++ b/src/traffic/traffic_router.cpp
@@ -43,15 +43,35 @@
 {
     // In the order of the variant.
     constexpr std::array<const char*, std::variant_size_v<traffic_event>> names{
-        "request_arrived",     "caller_disconnected", "attempt_broken",        "answer_begun",
-        "answer_bytes",        "answer_finished",     "configuration_changed", "targets_changed",
-        "fleet_changed",       "loads_received",      "failures_received",     "limits_received",
-        "crash_news_received", "stop_announced",      "exit_announced",        "timer_due"};
+        "request_arrived",
+        "caller_disconnected",
+        "attempt_broken",
+        "answer_begun",
+        "answer_bytes",
+        "answer_finished",
+        "configuration_changed",
+        "targets_changed",
+        "evacuations_changed",
+        "fleet_changed",
+        "loads_received",
+        "failures_received",
+        "limits_received",
+        "crash_news_received",
+        "stop_announced",
+        "exit_announced",
+        "timer_due"};
     return names.at(event.index());
 }
 
 traffic_router::traffic_router(const traffic_settings& settings) : settings_{settings} {}
 
+void traffic_router::set_settings(const traffic_settings& settings)
+{
+    // A router that serves already goes on while it reads the evacuations for the first time.
+    has_awaited_evacuations_ = has_awaited_evacuations_ || is_ready();
+    settings_ = settings;
+}
+
 traffic_effects traffic_router::handle(traffic_event&& event, time_point now)
 {
     now_ = now;
@@ -69,6 +89,9 @@
         next = std::min(next.value_or(early_requests_.front().refuse_at),
                         early_requests_.front().refuse_at);
     }
+    if (evacuations_due_at_ && awaits_evacuations()) {
+        next = std::min(next.value_or(*evacuations_due_at_), *evacuations_due_at_);
+    }
     return next;
 }
 
@@ -238,6 +261,7 @@
             .add("leaving", leaving)
             .add("revision", e.revision));
     metrics_.set("targets", static_cast<std::int64_t>(e.targets.size()));
+    update_evacuation_gauges();
     accept_early_requests();
 }
 
@@ -307,6 +331,7 @@
 
 void traffic_router::on(timer_due&)
 {
+    end_evacuations_wait();
     refuse_expired_early_requests();
     while (!timers_.empty() && timers_.begin()->first <= now_) {
         const auto number = timers_.begin()->second;
--- a/tests/entry/bounded_sink_test.cpp
+++ b/tests/entry/bounded_sink_test.cpp
@@ -82,6 +82,7 @@
     EXPECT_TRUE(read_copy_query(write_copy_query(full))->from_watcher);
     EXPECT_TRUE(read_copy_query(write_copy_query(full))->accepts_changes);
     EXPECT_FALSE(read_copy_query("/copy/targets?newer-than=1&from-watcher")->accepts_changes);
+    EXPECT_EQ(read_copy_query("/copy/evacuations?newer-than=1")->kind, object_kind::evacuations);
     EXPECT_FALSE(read_copy_query("/copy/targets"));
     EXPECT_FALSE(read_copy_query("/copy/routers?newer-than=1"));
     EXPECT_FALSE(read_copy_query("/copy/targets?newer-than=1x"));
--- a/tests/entry/fleet_status_test.cpp
+++ b/tests/entry/fleet_status_test.cpp
@@ -35,6 +35,15 @@
     EXPECT_THAT(find_problems({status("a", 4, 2, 1), status("b", 4, 2, 1)}), IsEmpty());
 }
 
+TEST(fleet_status, finds_a_router_that_reads_evacuations_and_is_disconnected)
+{
+    auto reader = status("a", 4, 2, 1);
+    const auto added = parse_metrics("endivelatch_store_connected{kind=\"evacuations\"} 0\n");
+    reader.values.insert(added.begin(), added.end());
+    EXPECT_THAT(find_problems({reader, status("b", 4, 2, 1)}),
+                ElementsAre("a: has lost contact with the store (evacuations)"));
+}
+
 TEST(fleet_status, finds_routers_that_lag_behind_or_are_disconnected)
 {
     EXPECT_THAT(find_problems({status("a", 4, 3, 1), status("b", 3, 3, 0), status("c", 4, 2, 1),
--- a/tests/mirror/object_mirror_test.cpp
+++ b/tests/mirror/object_mirror_test.cpp
@@ -368,5 +368,31 @@
     EXPECT_GT(*mirror.next_timer(), clock.now());
 }
 
+// The store may not know a kind of which it holds no object.
+TEST_F(mirror_fixture, an_absent_kind_has_no_objects)
+{
+    EXPECT_NE(find_effect<mirror_updated>(mirror.handle_kind_absent(clock.now())), nullptr);
+    EXPECT_TRUE(mirror.is_synced());
+    EXPECT_TRUE(mirror.is_connected());
+    EXPECT_TRUE(mirror.objects().empty());
+    EXPECT_EQ(find_effect<mirror_updated>(mirror.handle_kind_absent(clock.now())), nullptr);
+    ASSERT_TRUE(mirror.next_timer());
+    EXPECT_EQ(*mirror.next_timer(), clock.now() + mirror_settings{}.absent_kind_delay);
+    clock.advance(mirror_settings{}.absent_kind_delay);
+    ASSERT_NE(find_effect<watch_objects>(mirror.tick(clock.now())), nullptr);
+
+    object_mirror follower{mirror_settings{}, 2};
+    follower.start(clock.now());
+    follower.handle_kind_absent(clock.now());
+    mirror.handle_response(change(object("a", 5), false), clock.now());
+    EXPECT_TRUE(uses("a"));
+    pass_changes(mirror, follower);
+    EXPECT_TRUE(follower.objects().contains("a"));
+    mirror.handle_kind_absent(clock.now());
+    EXPECT_TRUE(mirror.objects().empty());
+    pass_changes(mirror, follower);
+    EXPECT_TRUE(follower.objects().empty());
+}
+
 } // namespace
 } // namespace endivelatch
--- a/tests/platform_adapter/objects_test.cpp
+++ b/tests/platform_adapter/objects_test.cpp
@@ -29,6 +29,22 @@
               "/-/objects/config?Watch=530&WaitMs=5000");
 }
 
+// What the operator writes besides the name does not matter.
+TEST(platform_objects, an_evacuation_names_its_domain_even_if_it_is_unreadable)
+{
+    EXPECT_EQ(protocol::list_call(object_kind::evacuations, {}).target, "/-/objects/evacuations");
+    const auto page = protocol::read_page(
+        R"({"Items":[{"Metadata":{"Name":"zone-a","Revision":7},"Spec":{}},
+            {"Metadata":{"Name":"zone-b","Revision":8}},
+            {"Metadata":{"Name":"zone-c","Revision":9},"Spec":{"x":}}],"HasMore":false,"At":9})");
+    ASSERT_TRUE(has_value(page));
+    std::string names;
+    for (const auto& it : value_of(page).objects) {
+        names += protocol::read_evacuation(it).str() + ' ';
+    }
+    EXPECT_EQ(names, "zone-a zone-b zone-c ");
+}
+
 TEST(platform_objects, pages_are_unchanged_after_writing_and_reading)
 {
     const auto read = protocol::read_page(
--- a/tests/platform_adapter/settings_test.cpp
+++ b/tests/platform_adapter/settings_test.cpp
@@ -53,6 +53,16 @@
     EXPECT_DOUBLE_EQ(settings.bounds.load_bound, 3);
     EXPECT_EQ(settings.bounds.stop_grace, std::chrono::seconds{8});
     EXPECT_LE(settings.bounds.entry_lifetime, std::chrono::seconds{5});
+    EXPECT_FALSE(settings.bounds.evacuation_time);
+}
+
+TEST(platform_settings, a_bound_of_evacuations_is_optional)
+{
+    std::string text = complete_settings;
+    text.insert(text.find("GraceS"), "EvacuateMs = 5000\n");
+    const auto read = platform::protocol::read_settings(text);
+    ASSERT_TRUE(has_value(read));
+    EXPECT_EQ(value_of(read).bounds.evacuation_time, std::chrono::seconds{5});
 }
 
 TEST(platform_settings, reports_all_errors_with_their_paths)
--- a/tests/serve/serve_fleet.cpp
+++ b/tests/serve/serve_fleet.cpp
@@ -27,7 +27,7 @@
 
 } // namespace
 
-serve_fleet::serve_fleet(int count, network_path path)
+serve_fleet::serve_fleet(int count, network_path path, std::string bounds)
     : client_connections{loop,
                          {[this](outgoing_id id, response_head&& head) {
                               responses[id].status = head.status;
@@ -43,9 +43,9 @@
                           [this](outgoing_id id, request_failure&&) {
                               responses[id].has_ended = true;
                           }}},
-      router_count_{count}, port_base_{choose_first_port()}, dir_{testing::TempDir() +
-                                                                  "endivelatch-serve-" +
-                                                                  std::to_string(getpid())}
+      router_count_{count}, port_base_{choose_first_port()},
+      dir_{testing::TempDir() + "endivelatch-serve-" + std::to_string(getpid())}, bounds_{std::move(
+                                                                                      bounds)}
 {
     std::filesystem::create_directories(dir_);
     for (int n = 1; n <= replica_count; ++n) {
@@ -113,8 +113,9 @@
         << ":1\"]\n[Listen]\nFrontend = " << text(0) << "\nReadiness = " << text(1)
         << "\nDirectory = " << text(2)
         << "\n[Limits]\nLinkMbps = 10.0\n[Bounds]\nGraceS = 4\nRetryBudgetRatio = 0.2\n"
-        << "RetrySlack = 50\nCapFactor = 2\nttl_max_s = 5\n[Platform]\nAddress = \""
-        << store_address().address << ":" << store_address().port << "\"\n";
+        << "RetrySlack = 50\nCapFactor = 2\nttl_max_s = 5\n"
+        << bounds_ << "\n[Platform]\nAddress = \"" << store_address().address << ":"
+        << store_address().port << "\"\n";
     return out.str();
 }
 
--- a/tests/serve/serve_fleet.hpp
+++ b/tests/serve/serve_fleet.hpp
@@ -34,7 +34,9 @@
         through_proxies, ///< Through proxies that can delay, stall and close connections.
     };
 
-    explicit serve_fleet(int routers, network_path path = network_path::direct);
+    /// `bounds` are further lines of the table `Bounds` in the routers' settings.
+    explicit serve_fleet(int routers, network_path path = network_path::direct,
+                         std::string bounds = {});
     ~serve_fleet();
     serve_fleet(const serve_fleet&) = delete;
     serve_fleet(serve_fleet&&) = delete;
@@ -116,6 +118,7 @@
     int router_count_;
     int port_base_;
     std::string dir_;
+    std::string bounds_;
 };
 
 } // namespace endivelatch::serve
--- a/tests/traffic/traffic_fuzz_test.cpp
+++ b/tests/traffic/traffic_fuzz_test.cpp
@@ -54,6 +54,7 @@
     EXPECT_TRUE(detects(injected_defect::ending, "whole"));
     EXPECT_TRUE(detects(injected_defect::events, "whole"));
     EXPECT_TRUE(detects(injected_defect::drain, "drain"));
+    EXPECT_TRUE(detects(injected_defect::evacuate, "evacuate"));
 }
 
 } // namespace
--- a/tests/traffic/traffic_simulation.cpp
+++ b/tests/traffic/traffic_simulation.cpp
@@ -15,11 +15,12 @@
 } // namespace
 
 traffic_simulation::traffic_simulation(std::uint64_t seed, injected_defect defect)
-    : random_{seed}, defect_{defect}
+    : random_{seed}, evacuation_random_{seed + 1}, defect_{defect}
 {
     dispatch(configuration_changed{make_configuration()});
     for (int n = 1; n <= target_count; ++n) {
         targets_.push_back(make_target(n));
+        targets_.back().domain = domain_id{std::to_string(n % 3)};
     }
     change_targets();
 }
@@ -52,6 +53,7 @@
     }
     else if (draw < 84) {
         change_targets();
+        change_evacuations();
     }
     else if (draw < 87 && !requests_.empty()) {
         auto it = requests_.begin();
@@ -114,6 +116,19 @@
     dispatch(std::move(changed));
 }
 
+void traffic_simulation::change_evacuations()
+{
+    evacuated_.clear();
+    for (int n = 0; n < 3; ++n) {
+        if (evacuation_random_.below(4) == 0) {
+            evacuated_.insert(domain_id{std::to_string(n)});
+        }
+    }
+    if (defect_ != injected_defect::evacuate) {
+        dispatch(evacuations_changed{evacuated_});
+    }
+}
+
 void traffic_simulation::advance_attempt(std::size_t index)
 {
     auto it = attempts_[index];
@@ -257,6 +272,12 @@
         report_violation("drain",
                          e.parameters.expected_target.str() + " gets a request while it leaves");
     }
+    const auto target = std::find_if(targets_.begin(), targets_.end(), [&](const auto& known) {
+        return known.id == e.parameters.expected_target;
+    });
+    if (evacuated_.contains(target->domain)) {
+        report_violation("evacuate", target->id.str() + " gets a request in an evacuated domain");
+    }
     active_attempt it;
     it.key = e.key;
     it.target = e.parameters.expected_target;
--- a/tests/traffic/traffic_simulation.hpp
+++ b/tests/traffic/traffic_simulation.hpp
@@ -22,6 +22,7 @@
     ending,    ///< Incomplete answers are reported as complete.
     events,    ///< The first event after a resumption is lost.
     drain,     ///< The router is not informed that targets are leaving.
+    evacuate,  ///< The router is not informed of evacuations.
 };
 
 /// Simulates callers, targets and time for one traffic router, with an oracle that checks its
@@ -71,6 +72,7 @@
     void advance_attempt(std::size_t index);
     void end_attempt(std::size_t index);
     void change_targets();
+    void change_evacuations();
     void dispatch(traffic_event&& event);
     void check_time();
 
@@ -93,6 +95,7 @@
     std::string complete_body(const observed_request& it) const;
 
     random_source random_;
+    random_source evacuation_random_; ///< Apart, so that other changes keep their schedules.
     injected_defect defect_;
     manual_clock clock_;
     traffic_router router_{traffic_settings{}};
@@ -100,6 +103,7 @@
     std::vector<active_attempt> attempts_;
     std::vector<registered_target> targets_;
     std::set<target_id> leaving_;
+    std::set<domain_id> evacuated_;
     std::deque<time_point> request_times_;
     std::deque<time_point> retry_times_;
     std::vector<std::string> violations_;
