--- a/include/endivelatch/traffic/target_table.hpp
+++ b/include/endivelatch/traffic/target_table.hpp
@@ -17,6 +17,15 @@
     /// Replaces the registrations. The state of targets that remain registered is kept.
     void replace(const std::vector<registered_target>& all, time_point now);
 
+    /// Sets the evacuated failure domains, also for targets that register later.
+    void set_evacuated(const std::set<domain_id>& domains, time_point now);
+
+    /// Returns the number of targets in evacuated failure domains, including leaving ones.
+    std::size_t evacuated_count() const;
+
+    /// Returns whether a target of the pool is in an evacuated failure domain.
+    bool has_evacuated(const pool_id& pool) const;
+
     /// Returns the target with the given id, or null.
     target_state* find(const target_id& id);
 
@@ -35,7 +44,7 @@
     /// Returns the targets that count as cold.
     std::vector<const target_state*> cold(time_point now) const;
 
-    /// Returns the targets of the pool that accept new requests.
+    /// Returns the targets of the pool that accept new requests: neither leaving nor evacuated.
     const std::vector<target_state*>& ready(const pool_id& pool) const;
 
     /// Returns all targets of the pool, including leaving ones.
@@ -63,6 +72,7 @@
     void add(const registered_target& registration, time_point now);
     void remove_except(const std::set<target_id>& present, time_point now);
     void configure_cold_start(target_state& target, time_point now) const;
+    void update_indexes();
 
     std::map<target_id, target_state> targets_;
     std::map<target_id, removed_target> removed_;
@@ -71,6 +81,7 @@
     std::unordered_map<target_key, target_state*> by_key_;
     std::map<pool_id, std::vector<target_state*>> ready_;
     std::map<pool_id, std::vector<target_state*>> registered_;
+    std::set<domain_id> evacuated_domains_;
     bool is_known_ = false;
 };
 
--- a/src/traffic/target_state.cpp
+++ b/src/traffic/target_state.cpp
@@ -233,8 +233,31 @@
     cold_.record_statement(left, now);
 }
 
+void target_state::set_evacuated(bool is_evacuated, time_point now)
+{
+    if (is_evacuated == evacuated_since_.has_value()) {
+        return;
+    }
+    if (is_evacuated) {
+        evacuated_since_ = now;
+        return;
+    }
+    evacuated_since_.reset();
+    known_since_ = now; // Its prompts have moved, so it has cached as little as one that joins.
+    expect_cold(now);
+}
+
+bool target_state::serves_fetches(time_point now) const
+{
+    const bool has_moved = evacuated_since_ && now - *evacuated_since_ >= evacuated_fetch_time;
+    return !has_moved && !is_ejected(now) && suspicion(now) == 0;
+}
+
 std::optional<target_obstacle> target_state::obstacle(time_point now) const
 {
+    if (is_evacuated()) {
+        return target_obstacle::evacuated;
+    }
     if (has_stated_leaving_) {
         return target_obstacle::leaving;
     }
@@ -255,7 +278,7 @@
 
 duration target_state::obstacle_left(time_point now) const
 {
-    if (has_stated_leaving_) {
+    if (is_evacuated() || has_stated_leaving_) {
         return shared_limit::max_wait;
     }
     const auto left = std::max(std::max(full_until_, paused_until_) - now, cold_.wait(now));
