Followers seldom call a store that their watchers have lost

A router that had lost the store called it whether or not it was a watcher, and asked no watcher before a call of its own had succeeded.

Followers now ask the watchers first. A watcher that has lost the store says so (502); then all followers together call the store four times a second and kind. The first newer copy of a peer during an outage starts the delay of removals, as followers return later than the watchers.

test_mirror, test_entry and the tests of the copies and evacuations in test_serve pass.

--- a/include/endivelatch/entry/copy_query.hpp
+++ b/include/endivelatch/entry/copy_query.hpp
@@ -33,6 +33,8 @@
     static constexpr int too_large = 303;
     /// The router does not watch the store.
     static constexpr int not_watching = 503;
+    /// The router watches the store but does not reach it.
+    static constexpr int store_lost = 502;
 };
 
 /// Returns the maximum size in bytes of a copy that a router sends to others while the store is
--- a/include/endivelatch/entry/entry_process_life.hpp
+++ b/include/endivelatch/entry/entry_process_life.hpp
@@ -262,7 +262,7 @@
     if (!copy.mirror().is_connected()) {
         // Another router may hold a newer copy.
         const auto status =
-            query->from_watcher ? copy_answer::not_watching : copy_answer::nothing_newer;
+            query->from_watcher ? copy_answer::store_lost : copy_answer::nothing_newer;
         peer_server_.respond(id, status, {}, {});
         return;
     }
--- a/include/endivelatch/entry/mirror_client.hpp
+++ b/include/endivelatch/entry/mirror_client.hpp
@@ -5,6 +5,7 @@
 #include "endivelatch/entry/call_client.hpp"
 #include "endivelatch/entry/copy_query.hpp"
 #include "endivelatch/entry/protocol.hpp"
+#include "endivelatch/entry/watchers.hpp"
 #include "endivelatch/mirror/object_mirror.hpp"
 #include "endivelatch/net/timer.hpp"
 
@@ -43,7 +44,7 @@
         : loop_{&loop}, calls_{&calls}, kind_{kind}, store_{store}, mirror_{settings, seed},
           callbacks_{std::move(callbacks)}, timer_{loop, [this] { apply(mirror_.tick(now())); }},
           peer_timer_{loop, [this] { on_peer_timer(); }},
-          join_timer_{loop, [this] { on_join_timer(); }}, random_{seed}
+          join_timer_{loop, [this] { on_join_timer(); }}, random_{seed}, probes_{seed + 1}
     {
     }
 
@@ -134,6 +135,9 @@
     static constexpr duration evacuations_follow_wait{2'000'000};
     /// Added to the wait for the timeout of a query to the followed watcher.
     static constexpr duration follow_timeout_margin{300'000};
+    /// A watcher whose connection fails within this time has ended; a slower failure may come from
+    /// this router's own link.
+    static constexpr duration quick_failure_time{200'000};
     /// Delays before the next query after a peer failed to answer, and after it had no newer copy.
     static constexpr duration peer_retry_delay{200'000};
     static constexpr duration peer_poll_delay{50'000};
@@ -172,8 +176,12 @@
             join_timer_.start(join_check_interval);
             return;
         }
-        follow(mirror_.is_connected() ? callbacks_.watchers_to_follow() : std::vector<endpoint>{},
-               e);
+        auto watchers = callbacks_.watchers_to_follow();
+        if (watchers.empty()) {
+            watch_store(e); // This router is a watcher.
+            return;
+        }
+        follow(std::move(watchers), e, false);
     }
 
     void on_join_timer()
@@ -183,13 +191,13 @@
         }
     }
 
-    /// Queries the last of the watchers for a newer copy. If it does not answer, this router
-    /// watches the store itself for one call. If it answers that it does not watch the store, the
-    /// next one is queried; when none is left, this router watches the store.
-    void follow(std::vector<endpoint>&& watchers, const watch_objects& e)
+    /// Queries the last of the watchers for a newer copy. If it answers that it does not watch or
+    /// reach the store, or fails at once, the next one is queried. If it does not answer, this
+    /// router watches the store itself for one call.
+    void follow(std::vector<endpoint>&& watchers, const watch_objects& e, bool has_lost_watcher)
     {
         if (watchers.empty()) {
-            watch_store(e);
+            watch_without_watcher(e, has_lost_watcher);
             return;
         }
         watches_store_ = false;
@@ -198,23 +206,41 @@
         const copy_query query{kind_, mirror_.revision(), true, mirror_.is_exact(), true};
         call_ = calls_->call(
             {watcher, "GET", write_copy_query(query), {}, wait_of(query) + follow_timeout_margin},
-            [this, e, since = query.newer_than,
+            [this, e, has_lost_watcher, since = query.newer_than, asked_at = now(),
              others = std::move(watchers)](call_outcome&& outcome) mutable {
                 call_.reset();
-                handle_watcher_answer(outcome, since, std::move(others), e);
+                const auto* reply = std::get_if<call_reply>(&outcome);
+                const bool has_lost = reply != nullptr && reply->status == copy_answer::store_lost;
+                const bool is_other =
+                    reply != nullptr && reply->status == copy_answer::not_watching;
+                const bool is_gone = reply == nullptr && now() - asked_at < quick_failure_time;
+                if (has_lost || is_other || is_gone) {
+                    follow(std::move(others), e, has_lost_watcher || has_lost);
+                    return;
+                }
+                handle_watcher_answer(outcome, since, e);
             });
     }
 
-    void handle_watcher_answer(const call_outcome& outcome, store_revision since,
-                               std::vector<endpoint>&& others, const watch_objects& e)
+    /// Called when no watcher can be followed. If one of them has lost the store, the others
+    /// probably have too, and this router seldom calls it.
+    void watch_without_watcher(const watch_objects& e, bool has_lost_watcher)
     {
-        const auto* reply = std::get_if<call_reply>(&outcome);
-        if (reply != nullptr && reply->status == copy_answer::not_watching) {
-            follow(std::move(others), e);
+        if (!has_lost_watcher || probes_.is_due(callbacks_.peers().size(), now())) {
+            watch_store({mirror_.revision(), e.wait});
             return;
         }
+        report_failure("no watcher reaches the store");
+    }
+
+    void handle_watcher_answer(const call_outcome& outcome, store_revision since,
+                               const watch_objects& e)
+    {
+        const auto* reply = std::get_if<call_reply>(&outcome);
         const bool is_unchanged = reply != nullptr && reply->status == copy_answer::nothing_newer;
         if (is_unchanged || (reply != nullptr && apply_copy(*reply, since))) {
+            probes_.reset();
+            report_success();
             apply(mirror_.handle_response(object_changes{{}, mirror_.revision()}, now()));
             return;
         }
@@ -259,6 +285,7 @@
         watch_started_at_ = now();
         send(Protocol::watch_call(kind_, e.after, e.wait), e.wait + watch_timeout_margin,
              [this](const std::string& body) {
+                 probes_.record_call(true);
                  return update_mirror(Protocol::read_changes(body));
              });
     }
@@ -305,6 +332,7 @@
 
     void report_failure(const std::string& reason)
     {
+        probes_.record_call(false);
         if (mirror_.is_connected() || !has_logged_loss_) {
             has_logged_loss_ = true;
             log("store_lost", reason);
@@ -313,6 +341,7 @@
         query_any_peer();
     }
 
+    /// Called after each successful call, of the store or of a watcher.
     void report_success()
     {
         if (std::exchange(has_logged_loss_, false)) {
@@ -477,6 +506,7 @@
     timer join_timer_;
     std::optional<watch_objects> delayed_watch_; ///< Waits for the discovery of other routers.
     random_source random_;
+    store_probes probes_;
 };
 
 } // namespace endivelatch
--- a/include/endivelatch/entry/watchers.hpp
+++ b/include/endivelatch/entry/watchers.hpp
@@ -1,9 +1,13 @@
 #pragma once
 
+#include "endivelatch/base/hash.hpp"
 #include "endivelatch/base/ids.hpp"
+#include "endivelatch/base/time.hpp"
 #include "endivelatch/membership/member.hpp"
 
 #include <cstddef>
+#include <cstdint>
+#include <optional>
 #include <vector>
 
 /// Selection of the routers that watch the store. Each change costs the store one call per watcher,
@@ -24,4 +28,33 @@
 /// the fleet select the same watchers.
 std::vector<member> choose_watchers(const std::vector<member>& live);
 
+/// Calls per second to the store by all followers together while their watchers do not reach it.
+/// Finds out within a fraction of a second whether only the watchers have lost the store.
+inline constexpr double follower_probes_per_second = 4;
+
+/// Decides when a follower calls the store itself because no watcher reaches it. During an outage
+/// each call is billed and fails, so a follower calls rarely; the followers of a large fleet
+/// together call often enough to notice that the store can be reached.
+class store_probes {
+public:
+    explicit store_probes(std::uint64_t seed) : random_{seed} {}
+
+    /// Returns whether to call the store now, in a fleet of this many live routers.
+    bool is_due(std::size_t routers, time_point now);
+
+    /// Records the outcome of a call. A follower that reaches the store calls it like a watcher.
+    void record_call(bool has_succeeded);
+
+    /// Records that a watcher reaches the store again.
+    void reset();
+
+    /// Shortest mean interval between the calls of a follower.
+    static constexpr duration min_interval{1'000'000};
+
+private:
+    random_source random_;
+    std::optional<time_point> next_at_;
+    bool reaches_store_ = false;
+};
+
 } // namespace endivelatch
--- a/include/endivelatch/mirror/object_mirror.hpp
+++ b/include/endivelatch/mirror/object_mirror.hpp
@@ -179,6 +179,8 @@
     void record_response(time_point now);
     bool apply(object_changes&& changes, time_point now);
     bool apply_removal(const mirrored_object& removed, store_revision revision, time_point now);
+    /// Called when a peer's newer copy shows that the store has answered another router.
+    void note_return_of_store(time_point now);
     void retain(mirrored_object&& object, time_point now);
     void add_tombstone(const std::string& name, store_revision revision);
     bool upsert(mirrored_object&& object);
@@ -206,7 +208,8 @@
     store_revision revision_;
     time_point last_response_at_{};
     std::optional<time_point> failed_since_; ///< First of the latest consecutive failures.
-    time_point restored_at_{};               ///< First response after the last outage.
+    /// First response after the last outage, or first newer copy of a peer within it.
+    time_point restored_at_{};
     std::optional<time_point> retry_at_;
     duration next_retry_delay_{};
     duration next_change_pause_{};
--- a/src/entry/watchers.cpp
+++ b/src/entry/watchers.cpp
@@ -55,4 +55,33 @@
     return watchers;
 }
 
+bool store_probes::is_due(std::size_t routers, time_point now)
+{
+    if (reaches_store_) {
+        return true;
+    }
+    const auto interval = std::max(
+        std::chrono::duration<double>{min_interval},
+        std::chrono::duration<double>{static_cast<double>(routers) / follower_probes_per_second});
+    if (!next_at_) {
+        next_at_ = now + std::chrono::duration_cast<duration>(interval * random_.fraction());
+    }
+    if (now < *next_at_) {
+        return false;
+    }
+    next_at_ = now + std::chrono::duration_cast<duration>(interval * (random_.fraction() + 0.5));
+    return true;
+}
+
+void store_probes::record_call(bool has_succeeded)
+{
+    reaches_store_ = has_succeeded;
+}
+
+void store_probes::reset()
+{
+    next_at_.reset();
+    reaches_store_ = false;
+}
+
 } // namespace endivelatch
--- a/src/mirror/object_mirror.cpp
+++ b/src/mirror/object_mirror.cpp
@@ -141,6 +141,7 @@
         return {};
     }
     const auto revision = copy.revision;
+    note_return_of_store(now);
     if (replace_all(std::move(copy.objects), revision, revision, now)) {
         return {mirror_updated{}};
     }
@@ -154,6 +155,7 @@
         return {};
     }
     record_skipped_changes(changes.revision);
+    note_return_of_store(now);
     if (apply(std::move(changes), now)) {
         return {mirror_updated{}};
     }
@@ -253,6 +255,14 @@
     return all;
 }
 
+void object_mirror::note_return_of_store(time_point now)
+{
+    const bool is_outage = failed_since_ && now - *failed_since_ >= settings_.min_outage;
+    if (is_outage && restored_at_ <= *failed_since_) {
+        restored_at_ = now;
+    }
+}
+
 void object_mirror::retain(mirrored_object&& object, time_point now)
 {
     if (restored_at_ != time_point{} && now - restored_at_ < settings_.removal_grace) {
--- a/tests/entry/watchers_test.cpp
+++ b/tests/entry/watchers_test.cpp
@@ -1,5 +1,6 @@
 #include "endivelatch/entry/watchers.hpp"
 
+#include <optional>
 #include <set>
 #include <string>
 
@@ -69,5 +70,48 @@
     EXPECT_EQ(kept, before.size() - 1);
 }
 
+// The load pattern: the store is down for 8 s before 125 routers. Each call is billed.
+TEST(store_probes, the_followers_of_a_fleet_together_call_seldom_but_soon)
+{
+    for (const std::size_t routers : {12U, 79U, 125U, 295U}) {
+        std::vector<store_probes> followers;
+        for (std::uint64_t n = 0; n < routers; ++n) {
+            followers.emplace_back(n);
+        }
+        const auto retry_interval = std::chrono::milliseconds{100};
+        manual_clock clock;
+        const auto lost_at = clock.now();
+        int calls = 0;
+        std::optional<time_point> first;
+        for (int step = 0; step < 80; ++step) {
+            for (auto& it : followers) {
+                const bool is_due = it.is_due(routers, clock.now());
+                calls += is_due ? 1 : 0;
+                first = is_due && !first ? clock.now() : first;
+            }
+            clock.advance(retry_interval);
+        }
+        EXPECT_LE(calls, 8 * follower_probes_per_second * 1.5) << routers;
+        EXPECT_GE(calls, 8 * follower_probes_per_second * 0.5) << routers;
+        ASSERT_TRUE(first);
+        EXPECT_LE(*first - lost_at, std::chrono::seconds{1}) << routers;
+    }
+}
+
+// Only the watchers have lost the store, so this router takes their place.
+TEST(store_probes, a_follower_that_reaches_the_store_goes_on_calling_it)
+{
+    store_probes probes{1};
+    manual_clock clock;
+    while (!probes.is_due(79, clock.now())) {
+        clock.advance(std::chrono::milliseconds{100});
+    }
+    EXPECT_FALSE(probes.is_due(79, clock.now()));
+    probes.record_call(true);
+    EXPECT_TRUE(probes.is_due(79, clock.now()));
+    probes.record_call(false);
+    EXPECT_FALSE(probes.is_due(79, clock.now()));
+}
+
 } // namespace
 } // namespace endivelatch
--- a/tests/mirror/object_mirror_test.cpp
+++ b/tests/mirror/object_mirror_test.cpp
@@ -383,6 +383,26 @@
     EXPECT_GT(*mirror.next_timer(), clock.now());
 }
 
+// A follower learns from others that the store has returned, before it is connected itself.
+TEST_F(mirror_fixture, removals_in_a_peers_copy_during_an_outage_are_delayed_from_its_first_news)
+{
+    mirror.handle_response(page({object("a", 3), object("b", 4), object("c", 5)}, 5), clock.now());
+    mirror.handle_call_failure(clock.now());
+    clock.advance(seconds{5});
+    mirror.merge_peer_copy(page({object("b", 4), object("c", 5)}, 6), clock.now());
+    EXPECT_TRUE(uses("a"));
+    clock.advance(milliseconds{1'900});
+    mirror.tick(clock.now());
+    mirror.merge_peer_copy(page({object("c", 5)}, 7), clock.now());
+    EXPECT_TRUE(uses("b"));
+    clock.advance(milliseconds{100});
+    mirror.tick(clock.now());
+    EXPECT_FALSE(uses("a"));
+    EXPECT_FALSE(uses("b"));
+    mirror.merge_peer_copy(page({}, 8), clock.now());
+    EXPECT_FALSE(uses("c"));
+}
+
 // The store may not know a kind of which it holds no object.
 TEST_F(mirror_fixture, an_absent_kind_has_no_objects)
 {
--- a/tests/serve/mirror_client_test.cpp
+++ b/tests/serve/mirror_client_test.cpp
@@ -5,6 +5,7 @@
 #include "standins/delayed_calls.hpp"
 #include "standins/store_standin.hpp"
 
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -141,5 +142,63 @@
     EXPECT_EQ(losses, 1);
 }
 
+/// A mirror client that follows two watchers with a given answer to each query.
+struct following_client {
+    following_client(const copy_answer& answer, event_loop& on) : loop{&on}
+    {
+        for (int n = 0; n < 2; ++n) {
+            watchers.push_back(std::make_unique<scripted_router>(on, answer, milliseconds{5}));
+        }
+        store.put("config", "main", {{"Version", 1}});
+        client.start();
+        run_for(on, milliseconds{1'500});
+    }
+
+    event_loop* loop;
+    standins::store_standin store{*loop};
+    call_client calls{*loop};
+    std::vector<std::unique_ptr<scripted_router>> watchers;
+    mirror_client<platform::protocol> client{
+        *loop,
+        calls,
+        object_kind::configuration,
+        store.address(),
+        mirror_settings{},
+        1,
+        {[] {}, [] { return std::vector<endpoint>(124); },
+         [this] {
+             return std::vector<endpoint>{watchers[0]->address(), watchers[1]->address()};
+         },
+         [] { return false; }, [](log_event&&) {}}};
+};
+
+// During an outage 75 followers made two thirds of the billed calls, all of which failed.
+TEST(follower, seldom_calls_a_store_that_its_watchers_have_lost)
+{
+    event_loop loop;
+    const following_client fleet{{copy_answer::store_lost, {}}, loop};
+    EXPECT_LE(fleet.store.request_count(), 2); // The list, and at most one watch.
+    EXPECT_FALSE(fleet.client.mirror().is_connected());
+    EXPECT_GT(fleet.watchers[0]->request_count(), 2);
+    EXPECT_GT(fleet.watchers[1]->request_count(), 2);
+}
+
+TEST(follower, watches_the_store_if_no_router_does)
+{
+    event_loop loop;
+    const following_client fleet{{copy_answer::not_watching, {}}, loop};
+    EXPECT_EQ(fleet.store.request_count(), 2);
+    EXPECT_EQ(fleet.store.pending_watches(), 1U);
+    EXPECT_TRUE(fleet.client.mirror().is_connected());
+}
+
+TEST(follower, does_not_call_the_store_while_a_watcher_reaches_it)
+{
+    event_loop loop;
+    const following_client fleet{{copy_answer::nothing_newer, {}}, loop};
+    EXPECT_EQ(fleet.store.request_count(), 1);
+    EXPECT_TRUE(fleet.client.mirror().is_connected());
+}
+
 } // namespace
 } // namespace endivelatch::serve
