An evacuated target serves fetches only if it was in use before

Targets that register or restart in an evacuated domain were named as sources of cached parts for 2 s, though they have none.

--- a/src/traffic/target_state.cpp
+++ b/src/traffic/target_state.cpp
@@ -249,8 +249,13 @@
 
 bool target_state::serves_fetches(time_point now) const
 {
-    const bool has_moved = evacuated_since_ && now - *evacuated_since_ >= evacuated_fetch_time;
-    return !has_moved && !is_ejected(now) && suspicion(now) == 0;
+    if (evacuated_since_) {
+        const bool was_in_use = known_since_ < *evacuated_since_;
+        if (!was_in_use || now - *evacuated_since_ >= evacuated_fetch_time) {
+            return false;
+        }
+    }
+    return !is_ejected(now) && suspicion(now) == 0;
 }
 
 std::optional<target_obstacle> target_state::obstacle(time_point now) const
--- a/tests/traffic/evacuation_test.cpp
+++ b/tests/traffic/evacuation_test.cpp
@@ -274,6 +274,20 @@
     EXPECT_NEAR(choose(1).mean_in_flight, 20, 0.1);
 }
 
+TEST(target_state, only_a_target_that_was_in_use_before_its_evacuation_serves_fetches)
+{
+    manual_clock clock;
+    target_state in_use{make_target(1), clock.now()};
+    clock.advance(seconds{1});
+    target_state just_registered{make_target(2), clock.now()};
+    in_use.set_evacuated(true, clock.now());
+    just_registered.set_evacuated(true, clock.now());
+    EXPECT_TRUE(in_use.serves_fetches(clock.now()));
+    EXPECT_FALSE(just_registered.serves_fetches(clock.now()));
+    clock.advance(target_state::evacuated_fetch_time);
+    EXPECT_FALSE(in_use.serves_fetches(clock.now()));
+}
+
 TEST(target_state, evacuation_is_the_first_reason_not_to_send)
 {
     manual_clock clock;
