--- a/tests/failures/child_process.cpp
+++ b/tests/failures/child_process.cpp
@@ -1,7 +1,9 @@
 #include "child_process.hpp"
 
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <spawn.h>
 #include <stdexcept>
 #include <sys/wait.h>
@@ -75,4 +77,11 @@
     return 0;
 }
 
+std::size_t child_process::open_descriptors() const
+{
+    std::error_code ec;
+    const std::filesystem::directory_iterator entries{"/proc/" + std::to_string(pid_) + "/fd", ec};
+    return static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
+}
+
 } // namespace endivelatch::failures
--- a/tests/failures/child_process.hpp
+++ b/tests/failures/child_process.hpp
@@ -32,6 +32,9 @@
     /// Returns the largest resident memory of the process so far, in bytes; 0 if it has ended.
     std::size_t peak_memory() const;
 
+    /// Returns the number of open descriptors of the process; 0 if it has ended.
+    std::size_t open_descriptors() const;
+
 private:
     pid_t pid_ = -1;
     int exit_code_ = -1;
--- a/tests/serve/endless_replica_test.cpp
+++ b/tests/serve/endless_replica_test.cpp
@@ -1,3 +1,4 @@
+#include "endless_replica.hpp"
 #include "serve_fleet.hpp"
 
 #include "net/loopback.hpp"
@@ -15,82 +16,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/// Answers each request with a head and then repeats a text without end.
-class endless_replica {
-public:
-    endless_replica(event_loop& loop, std::string head, std::string_view repeated)
-        : loop_{&loop}, head_{std::move(head)}, listener_{loop, [this](int fd) { accept(fd); }}
-    {
-        while (block_.size() < block_size) {
-            block_ += repeated;
-        }
-        listener_.start({"127.0.0.1", 0});
-    }
-
-    endpoint address() const { return listener_.listening(); }
-
-    /// Number of requests answered.
-    int answers = 0;
-    /// Number of bytes sent.
-    std::size_t sent = 0;
-
-private:
-    static constexpr std::size_t block_size = 65'536;
-
-    struct connection {
-        std::unique_ptr<tcp_stream> stream;
-        std::string received;
-        bool is_answering = false;
-    };
-
-    void accept(int fd)
-    {
-        connections_.push_back(std::make_unique<connection>());
-        auto& conn = *connections_.back();
-        conn.stream = std::make_unique<tcp_stream>(
-            *loop_, fd,
-            tcp_stream_callbacks{{},
-                                 [this, &conn](std::string_view bytes) { read(conn, bytes); },
-                                 [this, &conn] { write_block(conn); },
-                                 [](const std::string&) {}});
-    }
-
-    void read(connection& conn, std::string_view bytes)
-    {
-        const std::string id_header = "Endivelatch-Attempt-Id: ";
-        conn.received += bytes;
-        const auto at = conn.received.find(id_header);
-        const auto end = conn.received.find("\r\n", at);
-        if (conn.is_answering || at == std::string::npos || end == std::string::npos) {
-            return;
-        }
-        conn.is_answering = true;
-        ++answers;
-        auto head = head_;
-        const std::string placeholder = "ID";
-        const auto id = head.find(placeholder);
-        if (id != std::string::npos) {
-            head.replace(id, placeholder.size(),
-                         conn.received.substr(at + id_header.size(), end - at - id_header.size()));
-        }
-        conn.stream->out() += head;
-        write_block(conn);
-    }
-
-    void write_block(connection& conn)
-    {
-        sent += block_.size();
-        conn.stream->out() += block_;
-        conn.stream->flush_soon();
-    }
-
-    event_loop* loop_;
-    std::string head_;
-    std::string block_;
-    tcp_listener listener_;
-    std::vector<std::unique_ptr<connection>> connections_;
-};
-
 const std::string signed_head = "HTTP/1.1 200 OK\r\nEndivelatch-Attempt-Id: ID\r\n"
                                 "Endivelatch-Response-Signature: signed\r\n";
 const std::string foreign_answer = "HTTP/1.1 200 OK\r\nEndivelatch-Attempt-Id: other\r\n"
--- a/tests/serve/serve_fleet.cpp
+++ b/tests/serve/serve_fleet.cpp
@@ -27,7 +27,7 @@
 
 } // namespace
 
-serve_fleet::serve_fleet(int count, network_path path)
+serve_fleet::serve_fleet(int count, network_path path, stated_limits limits)
     : client_connections{loop,
                          {[this](outgoing_id id, response_head&& head) {
                               responses[id].status = head.status;
@@ -43,9 +43,8 @@
                           [this](outgoing_id id, request_failure&&) {
                               responses[id].has_ended = true;
                           }}},
-      router_count_{count}, port_base_{choose_first_port()}, dir_{testing::TempDir() +
-                                                                  "endivelatch-serve-" +
-                                                                  std::to_string(getpid())}
+      router_count_{count}, limits_{limits}, port_base_{choose_first_port()},
+      dir_{testing::TempDir() + "endivelatch-serve-" + std::to_string(getpid())}
 {
     std::filesystem::create_directories(dir_);
     for (int n = 1; n <= replica_count; ++n) {
@@ -106,13 +105,17 @@
         const auto where = address(router, offset);
         return '"' + where.address + ":" + std::to_string(where.port) + '"';
     };
+    const auto limit = [](const std::string& name, int value) {
+        return value == 0 ? std::string{} : name + " = " + std::to_string(value) + "\n";
+    };
     std::ostringstream out;
     out << "NodeName = \"edge-" << router << "\"\nZone = \"zone\"\nRegion = \"region\"\nIp = \""
         << address(router, 0).address << "\"\nInternalPorts = [" << port_base_ + 4 << ","
         << port_base_ + ports_per_router << "]\nSeeds = [\"" << address(1, 0).address
         << ":1\"]\n[Listen]\nFrontend = " << text(0) << "\nReadiness = " << text(1)
-        << "\nDirectory = " << text(2)
-        << "\n[Limits]\nLinkMbps = 10.0\n[Bounds]\nGraceS = 4\nRetryBudgetRatio = 0.2\n"
+        << "\nDirectory = " << text(2) << "\n[Limits]\nLinkMbps = 10.0\n"
+        << limit("MemoryMb", limits_.memory_mb) << limit("MaxFds", limits_.descriptors)
+        << "[Bounds]\nGraceS = 4\nRetryBudgetRatio = 0.2\n"
         << "RetrySlack = 50\nCapFactor = 2\nttl_max_s = 5\n[Platform]\nAddress = \""
         << store_address().address << ":" << store_address().port << "\"\n";
     return out.str();
@@ -173,6 +176,13 @@
             {"Priority", 1},      {"Service", "pool"},       {"MaxAttempts", attempts},
             {"Anonymous", false}, {"StreamResume", resumes}};
     };
+    nlohmann::json limits{{"MaxHeaderBytes", 4'096}, {"MaxBodyBytes", limits_.body_bytes}};
+    if (limits_.header_timeout_ms > 0) {
+        limits["HeaderTimeoutMs"] = limits_.header_timeout_ms;
+    }
+    if (limits_.idle_timeout_ms > 0) {
+        limits["IdleTimeoutMs"] = limits_.idle_timeout_ms;
+    }
     store.put(
         "config", "main",
         {{"Version", version},
@@ -181,7 +191,7 @@
            route("long", "unsafe", 1, false, 60'000), route("once/stream", "streaming", 1, false),
            route("again/stream", "streaming", 2, true)}},
          {"Services", {{{"Name", "pool"}, {"HealthPath", "/healthz"}}}},
-         {"Limits", {{"MaxHeaderBytes", 4'096}, {"MaxBodyBytes", 10'000}}},
+         {"Limits", limits},
          {"Tenants", {{{"Name", "org"}, {"ApiKeys", keys}}}}});
 }
 
--- a/tests/serve/serve_fleet.hpp
+++ b/tests/serve/serve_fleet.hpp
@@ -25,6 +25,15 @@
     bool has_ended = false;
 };
 
+/// Limits that the settings and the configuration of a fleet state. Zero leaves a limit out.
+struct stated_limits {
+    int memory_mb = 0;
+    int descriptors = 0;
+    int body_bytes = 10'000;
+    int header_timeout_ms = 0;
+    int idle_timeout_ms = 0;
+};
+
 /// Entry routers as child processes, with stand-ins for the store and the replicas in this process.
 class serve_fleet {
 public:
@@ -34,7 +43,8 @@
         through_proxies, ///< Through proxies that can delay, stall and close connections.
     };
 
-    explicit serve_fleet(int routers, network_path path = network_path::direct);
+    explicit serve_fleet(int routers, network_path path = network_path::direct,
+                         stated_limits limits = {});
     ~serve_fleet();
     serve_fleet(const serve_fleet&) = delete;
     serve_fleet(serve_fleet&&) = delete;
@@ -76,8 +86,10 @@
 
     /// Return the endpoints of a router.
     endpoint frontend_endpoint(int router) const { return address(router, 0); }
+    endpoint readiness_endpoint(int router) const { return address(router, 1); }
     endpoint directory_endpoint(int router) const { return address(router, 2); }
     endpoint metrics_endpoint(int router) const { return address(router, 3); }
+    endpoint peer_endpoint(int router) const { return address(router, 4); }
 
     /// Returns the registration of a replica; `replica` is an index from 0.
     nlohmann::json registration(std::size_t replica, const std::string& state = "ready") const;
@@ -114,6 +126,7 @@
     endpoint store_address() const;
 
     int router_count_;
+    stated_limits limits_;
     int port_base_;
     std::string dir_;
 };
