Bound what callers may hold of a router: memory, descriptors and time

Cause: a body was held up to four times (connection buffer, reader with doubled capacity, text of the attempt, output buffer) and nothing bounded the sum of bodies, pipelined requests, unread answers or connections. The time for the head covered the body. Change: one memory_budget a router and choices without I/O (memory_budget, connection_limits); request_server asks them. A body is held once and sent from where it is; buffers are given back; chunk overhead is bounded; heads keep their whole time from the first byte, bodies need 1,024 bytes of payload each 10 s; a refused request gets 400, 408, 413, 431 or 503 with Retry-After and its rest is discarded, so that the caller sees it; callers that take nothing are closed; connections are bounded on all addresses, the longest idle one goes first. An output buffer no longer moves its rest at each partial write. Tests changed: messages_test checked that write_request ends with the body; it writes the head only now, and the test checks that the body is kept unchanged; that it is sent after the head is checked by test_serve.

--- a/include/endivelatch/entry/connection_pool.hpp
+++ b/include/endivelatch/entry/connection_pool.hpp
@@ -6,6 +6,7 @@
 #include "endivelatch/net/timer.hpp"
 #include "endivelatch/traffic/traffic_event.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -38,7 +39,9 @@
 /// A request to send.
 struct outgoing_request {
     endpoint to;
-    std::string bytes;               ///< Encoded head and body.
+    std::string bytes; ///< Encoded head, and the body unless it is below.
+    /// Sent after `bytes` without being copied; may be null.
+    std::shared_ptr<const std::string> body;
     bool is_idempotent = false;      ///< May be sent on a connection close to its idle timeout.
     bool is_head = false;            ///< A HEAD request, whose answer has no body.
     duration timeout{};              ///< Until the answer is complete; zero for none.
@@ -56,6 +59,13 @@
     connection_pool& operator=(const connection_pool&) = delete;
     connection_pool& operator=(connection_pool&&) = delete;
 
+    /// Limits the connections. Above, idle ones are closed, the longest idle first; those with a
+    /// request stay.
+    void set_max_connections(std::size_t limit) { max_connections_ = limit; }
+
+    /// Limits the bytes of one read, which callers may have to be held for.
+    void limit_reads(std::size_t bytes) { read_limit_ = bytes; }
+
     /// Sends a request over an idle connection or a new one.
     outgoing_id send(outgoing_request&& request);
 
@@ -103,6 +113,7 @@
 
     connection* take_idle(const outgoing_request& request);
     connection& open(const endpoint& to);
+    void close_longest_idle();
     void start(connection& conn, outgoing_request&& request);
     void set_answer_deadline(connection& conn);
     void on_data(connection& conn, std::string_view bytes);
@@ -123,6 +134,8 @@
     std::uint64_t last_connection_ = 0;
     std::uint64_t last_request_ = 0;
     std::uint64_t opened_ = 0;
+    std::size_t max_connections_ = 0; ///< Zero for no limit.
+    std::size_t read_limit_ = tcp_stream::max_read_size;
     timer expiry_;
     time_point next_expiry_{};
 };
--- a/include/endivelatch/entry/entry_process.hpp
+++ b/include/endivelatch/entry/entry_process.hpp
@@ -11,6 +11,7 @@
 #include "endivelatch/net/signal_watcher.hpp"
 #include "endivelatch/traffic/traffic_router.hpp"
 
+#include <array>
 #include <csignal>
 #include <map>
 #include <memory>
@@ -31,8 +32,12 @@
     /// Binds all addresses and starts. Returns a finding for each address that could not be bound.
     findings start();
 
-    /// Number of unsent bytes of an answer at which reading from its target is paused.
-    static constexpr std::size_t max_unsent_bytes = 262'144;
+    /// Size in bytes up to which a body is sent together with its head. Larger ones are not copied.
+    static constexpr std::size_t max_copied_body = 16'384;
+    /// Bytes of one read from a target.
+    static constexpr std::size_t target_read_size = 16'384;
+    /// Sizes of requests at the addresses that are not for callers.
+    static constexpr request_limits service_sizes{.head = 8'192, .body = 4'096};
     /// Interval between checks of the settings file and updates of the gauges.
     static constexpr duration housekeeping_interval{1'000'000};
     /// Interval between checks whether a stopping process has finished its requests.
@@ -96,6 +101,12 @@
     void stop();
     void check_stop();
     void write(log_event&& event);
+
+    // Limits of memory and connections.
+    void set_up_limits();
+    void share_memory_of_vm(std::size_t body_limit);
+    void report_limits();
+    void report_refusals(std::string_view address, const request_server& server);
     traffic_settings settings_for_traffic() const;
 
     template <class Handler>
@@ -108,6 +119,9 @@
                 {}};
     }
 
+    /// Refusals of a server that were logged.
+    using refusal_counts = std::array<std::uint64_t, connection_refusals>;
+
     event_loop* loop_;
     entry_settings settings_;
     settings_file file_;
@@ -115,6 +129,8 @@
     std::shared_ptr<spdlog::logger> log_;
     bool is_flush_posted_ = false;
 
+    memory_budget budget_;
+    memory_shares shares_;
     traffic_router router_;
     request_server caller_server_;
     request_server readiness_server_;
@@ -139,6 +155,7 @@
     std::map<exchange_number, copy_waiter> copy_waiters_;
     std::map<std::string, store_revision>
         unreadable_revisions_; ///< Of the invalid registrations, which were logged.
+    std::map<std::string_view, refusal_counts> reported_refusals_; ///< By address.
     bool was_ready_ = false;
     bool is_stopping_ = false;
     bool has_ended_requests_ = false; ///< The time to stop is over.
@@ -159,4 +176,5 @@
 } // namespace endivelatch
 
 #include "endivelatch/entry/entry_process_life.hpp"
+#include "endivelatch/entry/entry_process_limits.hpp"
 #include "endivelatch/entry/entry_process_traffic.hpp"
--- a/include/endivelatch/entry/entry_process_life.hpp
+++ b/include/endivelatch/entry/entry_process_life.hpp
@@ -121,6 +121,7 @@
       on_less_verbose_{loop, SIGUSR2, [this] { set_log_level(less_verbose(log_->level())); }}
 {
     file_.read();
+    set_up_limits();
 }
 
 template <entry_protocol Protocol>
@@ -161,7 +162,8 @@
 traffic_settings entry_process<Protocol>::settings_for_traffic() const
 {
     const auto& bounds = settings_.bounds;
-    return {settings_.domain, bounds.retry_share, bounds.retry_burst, bounds.load_bound};
+    return {settings_.domain, bounds.retry_share, bounds.retry_burst, bounds.load_bound,
+            shares_.buffered_answers};
 }
 
 template <entry_protocol Protocol>
@@ -307,7 +309,9 @@
         return; // An older version never replaces a newer one.
     }
     const auto& limits = version->limits();
-    caller_server_.set_limits({limits.sizes, limits.header_timeout, limits.idle_timeout});
+    caller_server_.set_limits({limits.sizes, limits.header_timeout, limits.idle_timeout,
+                               caller_server_.limits().max_connections});
+    share_memory_of_vm(limits.sizes.body);
     deliver(configuration_changed{std::move(version)});
     publish_ready();
 }
@@ -425,6 +429,7 @@
     metrics.set("target_connections_opened", static_cast<std::int64_t>(target_pool_.opened()));
     metrics.set("calls_made", static_cast<std::int64_t>(call_client_.calls_made()));
     metrics.set("gossip_bytes_sent", static_cast<std::int64_t>(fleet_.bytes_sent()));
+    report_limits();
     metrics.set("log_lines_dropped", static_cast<std::int64_t>(sink_->dropped()));
 }
 
--- a/include/endivelatch/entry/entry_process_traffic.hpp
+++ b/include/endivelatch/entry/entry_process_traffic.hpp
@@ -39,7 +39,13 @@
 {
     outgoing_request out;
     out.to = e.address;
-    out.bytes = Protocol::write_request(*e.request, e.parameters);
+    out.bytes = Protocol::write_request_head(*e.request, e.parameters);
+    if (e.request->body.size() <= max_copied_body) {
+        out.bytes += e.request->body;
+    }
+    else {
+        out.body = std::shared_ptr<const std::string>{e.request, &e.request->body};
+    }
     out.is_idempotent = e.is_idempotent;
     out.is_head = e.request->method == "HEAD";
     const auto id = target_pool_.send(std::move(out));
@@ -77,7 +83,7 @@
 void entry_process<Protocol>::execute(send_bytes& e)
 {
     caller_server_.write(e.exchange, e.bytes);
-    if (caller_server_.unsent_bytes(e.exchange) < max_unsent_bytes) {
+    if (budget_.may_read_on(caller_server_.unsent_bytes(e.exchange))) {
         return;
     }
     const auto it = requests_by_attempt_.lower_bound(exchange_attempt{e.exchange, attempt{}});
--- a/include/endivelatch/entry/entry_settings.hpp
+++ b/include/endivelatch/entry/entry_settings.hpp
@@ -4,6 +4,7 @@
 #include "endivelatch/base/time.hpp"
 #include "endivelatch/membership/member.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <vector>
@@ -36,6 +37,9 @@
     endpoint store;              ///< The platform's store.
     /// Rate of this VM's network link, in bytes a second; zero if unknown.
     std::uint64_t link_rate = 0;
+    /// Memory of this VM in bytes and descriptors of this process; zero if unknown.
+    std::size_t memory_limit = 0;
+    std::size_t descriptor_limit = 0;
     entry_bounds bounds;
 };
 
--- a/include/endivelatch/entry/protocol.hpp
+++ b/include/endivelatch/entry/protocol.hpp
@@ -52,7 +52,7 @@
     // clang-format off
     { P::read_settings(text) } -> std::same_as<result<entry_settings>>;
     { P::read_request(std::move(head), std::move(text)) } -> std::same_as<result<caller_request>>;
-    { P::write_request(request, parameters) } -> std::same_as<std::string>;
+    { P::write_request_head(request, parameters) } -> std::same_as<std::string>;
     { P::read_answer(std::move(answer)) } -> std::same_as<target_answer>;
     { P::refusal_headers(refusal) } -> std::same_as<http_headers>;
     { P::is_readiness_query(text) } -> std::same_as<bool>;
--- a/include/endivelatch/http1/request_reader.hpp
+++ b/include/endivelatch/http1/request_reader.hpp
@@ -19,6 +19,11 @@
     body_too_large, ///< Respond with 413 and close.
 };
 
+/// Bytes of chunk sizes, extensions and trailers that a chunked body may take in all, and beside
+/// that for each byte of payload: chunks of one byte without extensions take five.
+inline constexpr std::size_t free_chunk_overhead = 1'048'576;
+inline constexpr std::size_t chunk_overhead_per_byte = 16;
+
 /// Size limits of a request, in bytes.
 struct request_limits {
     std::size_t head = 16'384;
@@ -56,12 +61,24 @@
     /// Returns whether the current request is complete.
     bool is_complete() const;
 
+    /// Returns the number of bytes of the body so far, without the overhead of chunks.
+    std::size_t payload() const;
+
+    /// Returns the size of the body that the head announces; zero without one or for chunks.
+    std::size_t announced() const;
+
+    /// Returns the bytes of memory that the current request takes.
+    std::size_t held() const;
+
     /// Returns the error after which the connection cannot be used for further requests.
     request_parse_error error() const;
 
     /// Returns the parsed head; valid only if `has_head()`.
     const request_head& head() const;
 
+    /// Moves the head out; valid only if `is_complete()`.
+    request_head take_head();
+
     /// Moves the body out; valid only if `is_complete()`.
     std::string take_body();
 
--- a/include/endivelatch/net/tcp_stream.hpp
+++ b/include/endivelatch/net/tcp_stream.hpp
@@ -3,8 +3,12 @@
 #include "endivelatch/base/result.hpp"
 #include "endivelatch/membership/member.hpp"
 #include "endivelatch/net/io_watcher.hpp"
+#include "endivelatch/net/timer.hpp"
 
+#include <cstddef>
+#include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -34,12 +38,29 @@
     tcp_stream& operator=(const tcp_stream&) = delete;
     tcp_stream& operator=(tcp_stream&&) = delete;
 
-    /// Returns the output buffer. Call `flush_soon` after appending to it.
+    /// Returns the output buffer, to append to. Call `flush_soon` afterwards. It may still hold
+    /// bytes that were written; `unsent` tells how many were not.
     std::string& out() { return out_; }
 
+    /// Sends a text after the output buffer without copying it. Nothing may be appended to the
+    /// output before it has been sent.
+    void send_after_out(std::shared_ptr<const std::string> text);
+
+    /// Returns the number of bytes that were not written to the socket yet.
+    std::size_t unsent() const;
+
+    /// Returns the number of bytes written to the socket so far.
+    std::uint64_t written() const { return written_; }
+
+    /// Limits the bytes of one read, which the receiver may have to hold.
+    void limit_reads(std::size_t bytes);
+
     /// Writes the output buffer at the end of this loop iteration.
     void flush_soon();
 
+    /// Ends the sending side, so that the peer sees the end of what was written.
+    void shutdown_writing();
+
     /// Closes the connection without calling `on_closed`.
     void close();
 
@@ -60,11 +81,20 @@
     /// Returns whether the connection is established.
     bool is_open() const { return is_open_; }
 
+    /// Bytes of one read unless limited.
+    static constexpr std::size_t max_read_size = 65'536;
+    /// Capacity in bytes above which an empty output buffer is given back.
+    static constexpr std::size_t max_kept_capacity = 4'096;
+
 private:
     void on_ready(io_interest ready);
     void finish_connecting();
     void read_all();
     void flush();
+    /// Writes as much as the socket takes; returns the number of bytes or nothing if the connection
+    /// failed.
+    std::optional<std::size_t> write_some(std::string_view bytes);
+    void remove_written();
     /// Closes the connection and reports the reason.
     void fail(const std::string& reason);
 
@@ -77,6 +107,11 @@
     bool has_received_eof_ = false;
     bool was_closed_by_peer_ = false;
     std::string out_;
+    std::size_t out_written_ = 0;             ///< Bytes of the output buffer that were written.
+    std::shared_ptr<const std::string> tail_; ///< Sent after the output buffer; may be null.
+    std::size_t tail_written_ = 0;
+    std::uint64_t written_ = 0;
+    std::size_t read_limit_ = max_read_size;
     std::unique_ptr<io_watcher> watcher_;
     /// Checked by posted calls, which may outlive the stream.
     std::shared_ptr<bool> is_alive_ = std::make_shared<bool>(true);
@@ -106,6 +141,7 @@
     endpoint address_;
     int fd_ = -1;
     std::unique_ptr<io_watcher> watcher_;
+    timer resume_; ///< Accepts again after descriptors were missing.
 };
 
 } // namespace endivelatch
--- a/include/endivelatch/traffic/traffic_router.hpp
+++ b/include/endivelatch/traffic/traffic_router.hpp
@@ -23,6 +23,9 @@
     double retry_share = 0.2; ///< Fleet-wide retries per request.
     double retry_burst = 10;  ///< Fleet-wide retries that need no preceding requests.
     double load_bound = 2;    ///< Maximum load of a target, relative to the mean of its pool.
+    /// Bytes of plain answers that may be buffered until complete, over all requests; zero for no
+    /// bound.
+    std::size_t buffered_answers = 0;
 };
 
 /// Routes the requests of an entry router: checks route and API key, selects targets, retries, and
@@ -207,6 +210,7 @@
     void handle_refusal(exchange_number number, exchange& it, const target_answer& answer);
     void handle_failure(exchange_number number, exchange& it, target_answer&& answer);
     void handle_body_bytes(exchange_number number, exchange& it, std::string&& bytes);
+    std::size_t buffer_limit() const;
     void handle_events(exchange_number number, exchange& it, std::string_view bytes);
     void end_faulty_stream(exchange_number number, exchange& it, std::string_view reason);
     static bool is_cut_stream(const exchange& it);
--- a/src/endivelatch/serve_command.cpp
+++ b/src/endivelatch/serve_command.cpp
@@ -3,11 +3,13 @@
 
 #include "endivelatch/entry/entry_process.hpp"
 #include "endivelatch/entry/fatal_signal.hpp"
+#include "endivelatch/entry/vm_limits.hpp"
 #include "platform/protocol.hpp"
 
 #include <csignal>
 #include <memory>
 
+#include <malloc.h>
 #include <spdlog/pattern_formatter.h>
 
 namespace endivelatch {
@@ -24,6 +26,8 @@
 Options:
   --boot=PATH           Settings file of the platform; reloaded on SIGHUP and when it changes.
   --metrics=IP:PORT     Address that serves the metrics; none if not given.
+  --memory-mb=MB        Memory of this VM, if the settings file does not state it; by default the limit
+                        of the control group.
   --log-level=LEVEL     info, warn or error; info if not given.
   -h --help             Show this help text.
 )";
@@ -43,6 +47,18 @@
     if (!options.string("metrics", "").empty()) {
         settings.metrics = options.address("metrics");
     }
+    constexpr std::size_t bytes_per_megabyte = 1'000'000;
+    constexpr std::uint64_t max_memory_mb = 16'777'216;
+    if (settings.memory_limit == 0) {
+        settings.memory_limit =
+            options.number("memory-mb", 0, 0, max_memory_mb) * bytes_per_megabyte;
+    }
+    if (settings.memory_limit == 0) {
+        settings.memory_limit = read_memory_limit();
+    }
+    if (settings.descriptor_limit == 0) {
+        settings.descriptor_limit = read_descriptor_limit();
+    }
     if (!options.errors().empty()) {
         return options.errors();
     }
@@ -59,6 +75,16 @@
     return log;
 }
 
+/// Makes the allocator return large blocks, such as bodies, to the system when they are freed. By
+/// default its threshold grows with the largest block freed so far.
+void return_large_blocks()
+{
+    constexpr int threshold = 262'144;
+    constexpr int kept_at_top = 1'048'576;
+    mallopt(M_MMAP_THRESHOLD, threshold);
+    mallopt(M_TRIM_THRESHOLD, kept_at_top);
+}
+
 } // namespace
 
 exit_code run_serve(const std::vector<std::string>& args)
@@ -68,6 +94,7 @@
         std::signal(signal_number, SIG_IGN);
     }
     log_fatal_signals();
+    return_large_blocks();
     const auto parsed = parse_arguments(usage, args);
     if (const auto* code = std::get_if<exit_code>(&parsed)) {
         return *code;
--- a/src/entry/connection_pool.cpp
+++ b/src/entry/connection_pool.cpp
@@ -92,6 +92,9 @@
 
 connection_pool::connection& connection_pool::open(const endpoint& to)
 {
+    if (max_connections_ > 0 && connections_.size() >= max_connections_) {
+        close_longest_idle();
+    }
     auto created = std::make_unique<connection>();
     auto& conn = *created;
     conn.number = ++last_connection_;
@@ -117,6 +120,7 @@
             {},
             [this, &conn](const std::string& reason) { on_stream_closed(conn, reason); }});
     conn.stream->set_unresponsive_timeout(silence_limit);
+    conn.stream->limit_reads(read_limit_);
     ++opened_;
     return conn;
 }
@@ -140,9 +144,26 @@
     conn.reader->next(request.is_head);
     requests_.emplace(conn.request, &conn);
     conn.stream->out() = std::move(request.bytes);
+    if (request.body != nullptr) {
+        conn.stream->send_after_out(std::move(request.body));
+    }
     conn.stream->flush_soon();
 }
 
+void connection_pool::close_longest_idle()
+{
+    connection* longest = nullptr;
+    for (const auto& [to, connections] : idle_) {
+        auto* const first = connections.empty() ? nullptr : connections.front();
+        if (first != nullptr && (longest == nullptr || first->idle_since < longest->idle_since)) {
+            longest = first;
+        }
+    }
+    if (longest != nullptr) {
+        drop(*longest);
+    }
+}
+
 void connection_pool::set_answer_deadline(connection& conn)
 {
     conn.deadline = conn.timeout == duration{} ? time_point{} : loop_->now() + conn.timeout;
@@ -211,7 +232,7 @@
 void connection_pool::release(connection& conn)
 {
     // A target that answers before it has read the whole request still expects the rest.
-    if (!conn.is_reusable || !conn.stream->out().empty() || !conn.stream->is_open()) {
+    if (!conn.is_reusable || conn.stream->unsent() > 0 || !conn.stream->is_open()) {
         drop(conn);
         return;
     }
--- a/src/entry/log_level.cpp
+++ b/src/entry/log_level.cpp
@@ -14,11 +14,11 @@
 constexpr std::array<std::string_view, 4> errors{
     "configuration_unreadable", "registration_unreadable", "settings_kept", "run_superseded"};
 
-constexpr std::array<std::string_view, 15> warnings{
+constexpr std::array<std::string_view, 16> warnings{
     "attempt_broken", "attempt_hung",       "answer_skipped",     "answer_unusable",
     "no_target",      "request_refused",    "request_unreadable", "target_ejected",
     "store_lost",     "store_history_gone", "copy_not_read",      "gossip_unreadable",
-    "paused",         "log_lines_dropped",  "stream_faulty"};
+    "paused",         "log_lines_dropped",  "stream_faulty",      "connections_refused"};
 
 template <std::size_t Count>
 bool contains(const std::array<std::string_view, Count>& names, std::string_view name)
--- a/src/entry/request_server.cpp
+++ b/src/entry/request_server.cpp
@@ -1,4 +1,4 @@
-#include "endivelatch/entry/request_server.hpp"
+#include "request_server_connection.hpp"
 
 #include "endivelatch/http1/message_writer.hpp"
 
@@ -6,24 +6,9 @@
 #include <utility>
 #include <vector>
 
-namespace endivelatch {
-
-/// A connection of a client.
-struct request_server::connection {
-    connection(std::uint64_t n, request_limits sizes) : number{n}, reader{sizes} {}
+#include <unistd.h>
 
-    std::uint64_t number;
-    std::unique_ptr<tcp_stream> stream;
-    request_reader reader;
-    std::string pending; ///< Received bytes that are not parsed yet.
-    exchange_number exchange;
-    bool is_busy = false;             ///< A request has no complete answer yet.
-    bool keeps_alive = true;          ///< Accepts another request after this answer.
-    bool is_chunked = false;          ///< The answer uses the chunked transfer coding.
-    bool has_no_body = false;         ///< The answer has no body, as for HEAD.
-    bool closes_when_written = false; ///< Closes once all bytes are written.
-    time_point last_activity{};       ///< Start of the last request or end of the last answer.
-};
+namespace endivelatch {
 
 request_server::request_server(event_loop& loop, request_server_callbacks callbacks)
     : loop_{&loop}, callbacks_{std::move(callbacks)}, expiry_{loop, [this] { expire(); }}
@@ -54,8 +39,19 @@
     }
 }
 
+void request_server::set_budget(memory_budget& budget, memory_use requests, memory_use answers)
+{
+    budget_ = &budget;
+    request_use_ = requests;
+    answer_use_ = answers;
+}
+
 void request_server::accept(int fd)
 {
+    if (!make_room_for_connection()) {
+        ::close(fd);
+        return;
+    }
     const auto number = ++last_connection_;
     auto created = std::make_unique<connection>(number, limits_.sizes);
     auto& conn = *created;
@@ -70,73 +66,131 @@
     conn.stream->set_unresponsive_timeout(silence_limit);
 }
 
+/// Returns whether another connection may be accepted; closes others if there are too many.
+bool request_server::make_room_for_connection()
+{
+    const auto limit = limits_.max_connections;
+    if (limit == 0 || connections_.size() < limit) {
+        return true;
+    }
+    std::vector<open_connection> open;
+    open.reserve(connections_.size());
+    for (const auto& [number, conn] : connections_) {
+        open.push_back({number, state_of(*conn), conn->last_activity});
+    }
+    for (const auto number : choose_connections_to_close(open, closed_together, loop_->now())) {
+        count_refusal(connection_refusal::no_descriptor);
+        drop(*connections_.at(number));
+    }
+    if (connections_.size() < limit) {
+        return true;
+    }
+    count_refusal(connection_refusal::no_descriptor);
+    return false;
+}
+
 void request_server::on_data(connection& conn, std::string_view bytes)
 {
-    if (conn.closes_when_written) {
+    if (conn.is_refused) {
+        discard(conn, bytes.size());
+        return;
+    }
+    if (conn.closes_when_written || conn.has_lost_input) {
+        return;
+    }
+    if (conn.is_busy || !conn.pending.empty()) {
+        keep_pending(conn, bytes);
         return;
     }
+    receive(conn, bytes);
+}
+
+/// Keeps bytes of requests behind the current one.
+void request_server::keep_pending(connection& conn, std::string_view bytes)
+{
     conn.pending.append(bytes);
-    if (!conn.is_busy) {
-        read_requests(conn);
+    if (!hold(conn)) {
+        if (!conn.is_busy) {
+            reject(conn, connection_refusal::no_memory);
+            return;
+        }
+        // The current request is still answered; the connection is closed after that.
+        count_refusal(connection_refusal::no_memory);
+        conn.keeps_alive = false;
+        conn.has_lost_input = true;
+        std::string{}.swap(conn.pending);
     }
     if (conn.is_busy && conn.pending.size() > max_pending_bytes) {
         conn.stream->pause_reading(true);
     }
 }
 
-void request_server::read_requests(connection& conn)
+void request_server::receive(connection& conn, std::string_view bytes)
 {
-    if (!conn.reader.has_started() && !conn.pending.empty()) {
+    const bool had_started = conn.reader.has_started();
+    const bool had_head = conn.reader.has_head();
+    const auto rest = bytes.substr(conn.reader.feed(bytes));
+    if (!had_started && conn.reader.has_started()) {
         conn.last_activity = loop_->now();
     }
-    conn.pending.erase(0, conn.reader.feed(conn.pending));
     if (conn.reader.error() != request_parse_error::none) {
-        reject(conn);
+        reject_unreadable(conn);
+        return;
+    }
+    conn.pending = std::string{rest};
+    if (!hold(conn)) {
+        reject(conn, connection_refusal::no_memory);
         return;
     }
-    if (!conn.reader.is_complete()) {
+    if (conn.reader.is_complete()) {
+        dispatch(conn);
         return;
     }
-    auto head = conn.reader.head();
+    if (!had_head && conn.reader.has_head()) {
+        conn.body.start(loop_->now());
+    }
+}
+
+void request_server::receive_pending(connection& conn)
+{
+    const auto bytes = std::exchange(conn.pending, {});
+    receive(conn, bytes);
+}
+
+/// Passes a complete request on.
+void request_server::dispatch(connection& conn)
+{
+    auto head = conn.reader.take_head();
     auto body = conn.reader.take_body();
     conn.reader.next();
+    conn.request_held = conn.held - std::min(conn.held, conn.pending.size());
     conn.is_busy = true;
     conn.keeps_alive = head.keeps_alive;
     conn.has_no_body = head.method == "HEAD";
+    conn.stream->limit_reads(pipelined_read_size);
     conn.exchange = exchange_number{++last_exchange_};
     exchanges_.emplace(conn.exchange, &conn);
     callbacks_.on_request(conn.exchange, std::move(head), std::move(body));
 }
 
-void request_server::reject(connection& conn)
-{
-    int status = 400;
-    if (conn.reader.error() == request_parse_error::head_too_large) {
-        status = 431;
-    }
-    else if (conn.reader.error() == request_parse_error::body_too_large) {
-        status = 413;
-    }
-    auto& out = conn.stream->out();
-    append_status_line(out, status);
-    out += "Content-Length: 0\r\nConnection: close\r\n\r\n";
-    conn.pending.clear();
-    close_after_writing(conn);
-}
-
 void request_server::close_after_writing(connection& conn)
 {
     conn.closes_when_written = true;
-    if (conn.stream->out().empty()) {
+    if (conn.stream->unsent() == 0) {
         drop(conn);
         return;
     }
+    count_unsent(conn);
     conn.stream->flush_soon();
 }
 
 void request_server::on_written(connection& conn)
 {
-    if (conn.closes_when_written) {
+    count_unsent(conn);
+    if (conn.is_refused) {
+        conn.stream->shutdown_writing();
+    }
+    else if (conn.closes_when_written) {
         drop(conn);
     }
     else if (conn.is_busy && callbacks_.on_drained) {
@@ -148,6 +202,7 @@
 {
     if (conn.is_busy) {
         exchanges_.erase(conn.exchange);
+        conn.is_busy = false;
         callbacks_.on_closed(conn.exchange);
     }
     drop(conn);
@@ -157,8 +212,11 @@
 {
     if (conn.is_busy) {
         exchanges_.erase(conn.exchange);
+        conn.is_busy = false;
     }
     conn.stream->close();
+    release(conn, 0);
+    budget_->release(answer_use_, std::exchange(conn.unsent, 0));
     const auto found = connections_.find(conn.number);
     if (found == connections_.end()) {
         return; // Dropped before.
@@ -211,6 +269,7 @@
     else {
         conn->stream->out().append(bytes);
     }
+    count_unsent(*conn);
     conn->stream->flush_soon();
 }
 
@@ -226,7 +285,10 @@
     exchanges_.erase(id);
     conn->is_busy = false;
     conn->last_activity = loop_->now();
+    release(*conn, conn->pending.size());
+    count_unsent(*conn);
     conn->stream->pause_reading(false);
+    conn->stream->limit_reads(tcp_stream::max_read_size);
     if (!conn->keeps_alive) {
         close_after_writing(*conn);
         return;
@@ -238,7 +300,7 @@
             const auto found = connections_.find(number);
             if (found != connections_.end() && !found->second->is_busy &&
                 !found->second->closes_when_written) {
-                read_requests(*found->second);
+                receive_pending(*found->second);
             }
         });
     }
@@ -265,14 +327,14 @@
 std::size_t request_server::unsent_bytes(exchange_number id)
 {
     auto* conn = find(id);
-    return conn == nullptr ? 0 : conn->stream->out().size();
+    return conn == nullptr ? 0 : conn->stream->unsent();
 }
 
 bool request_server::has_unfinished_work() const
 {
     return std::any_of(connections_.begin(), connections_.end(), [](const auto& entry) {
         const auto& conn = *entry.second;
-        return !conn.stream->out().empty() || !conn.pending.empty();
+        return conn.stream->unsent() > 0 || !conn.pending.empty();
     });
 }
 
@@ -281,7 +343,7 @@
     is_closing_ = true;
     std::vector<connection*> idle;
     for (const auto& [number, conn] : connections_) {
-        if (!conn->is_busy && !conn->reader.has_started() && conn->pending.empty()) {
+        if (state_of(*conn) == connection_state::idle && !conn->is_refused) {
             idle.push_back(conn.get());
         }
     }
@@ -290,24 +352,4 @@
     }
 }
 
-void request_server::expire()
-{
-    expiry_.start(expiry_interval);
-    const auto now = loop_->now();
-    std::vector<connection*> expired;
-    for (const auto& [number, conn] : connections_) {
-        if (conn->is_busy) {
-            continue;
-        }
-        const auto limit =
-            conn->reader.has_started() ? limits_.request_timeout : limits_.idle_timeout;
-        if (now - conn->last_activity > limit) {
-            expired.push_back(conn.get());
-        }
-    }
-    for (auto* conn : expired) {
-        drop(*conn);
-    }
-}
-
 } // namespace endivelatch
--- a/src/http1/request_reader.cpp
+++ b/src/http1/request_reader.cpp
@@ -59,7 +59,9 @@
         head_bytes.clear();
         head = {};
         collector = header_collector{head.headers};
-        body.clear();
+        std::string{}.swap(body);
+        body_bytes = 0;
+        announced = 0;
         has_head = false;
         is_complete = false;
         limits = next_limits.value_or(limits);
@@ -67,7 +69,8 @@
 
     std::size_t feed_head(std::string_view bytes);
     std::size_t feed_body(std::string_view bytes);
-    void parse_head();
+    void parse_head(std::string_view bytes);
+    void append_body(std::string_view bytes);
 
     static parser& of(http_parser* p) { return *static_cast<parser*>(p->data); }
     static const http_parser_settings& callbacks();
@@ -78,6 +81,9 @@
     std::string head_bytes;
     request_head head;
     std::string body;
+    std::size_t body_bytes = 0; ///< Bytes of the body as received, with the overhead of chunks.
+    std::size_t announced = 0;  ///< `Content-Length`, or zero.
+    std::size_t head_size = 0;
     bool has_head = false;
     bool is_complete = false;
     header_collector collector{head.headers};
@@ -106,7 +112,7 @@
                 it.error = request_parse_error::body_too_large;
                 return 1;
             }
-            it.body.append(at, n);
+            it.append_body({at, n});
             return 0;
         };
         s.on_message_complete = [](http_parser* p) {
@@ -119,6 +125,20 @@
     return all;
 }
 
+/// Appends to the body. The capacity at most doubles and never exceeds what the body may become.
+void request_reader::parser::append_body(std::string_view bytes)
+{
+    const auto size = body.size() + bytes.size();
+    if (size > body.capacity()) {
+        const auto most = std::max(size, announced > 0 ? announced : limits.body);
+        std::string larger; // The capacity of `body` itself could only be doubled.
+        larger.reserve(std::min(most, std::max(size, body.capacity() * 2)));
+        larger.append(body);
+        body.swap(larger);
+    }
+    body.append(bytes);
+}
+
 std::size_t request_reader::parser::feed_head(std::string_view bytes)
 {
     std::size_t skipped = 0;
@@ -127,6 +147,16 @@
         skipped += 2;
     }
     const auto known = head_bytes.size();
+    if (known == 0) {
+        const auto end = bytes.find(head_end);
+        if (end != std::string_view::npos && end + head_end.size() <= limits.head) {
+            const auto head_of_bytes = bytes.substr(0, end + head_end.size());
+            parse_head(head_of_bytes);
+            return skipped + head_of_bytes.size();
+        }
+    }
+    // What exceeds the limit is not copied.
+    bytes = bytes.substr(0, limits.head + 1 - known);
     head_bytes.append(bytes);
     const auto from = known < head_end.size() ? 0 : known - head_end.size();
     const auto end = head_bytes.find(head_end, from);
@@ -139,23 +169,24 @@
         return skipped + bytes.size();
     }
     head_bytes.resize(size);
-    parse_head();
+    parse_head(head_bytes);
+    std::string{}.swap(head_bytes);
     return skipped + size - known;
 }
 
-void request_reader::parser::parse_head()
+void request_reader::parser::parse_head(std::string_view bytes)
 {
-    if (!is_strict_head(head_bytes)) {
+    if (!is_strict_head(bytes)) {
         error = request_parse_error::malformed;
         return;
     }
-    const auto n = http_parser_execute(&state, &callbacks(), head_bytes.data(), head_bytes.size());
+    const auto n = http_parser_execute(&state, &callbacks(), bytes.data(), bytes.size());
     const auto parser_errno = HTTP_PARSER_ERRNO(&state);
-    if ((parser_errno != HPE_OK && parser_errno != HPE_PAUSED) || !has_head ||
-        n != head_bytes.size()) {
+    if ((parser_errno != HPE_OK && parser_errno != HPE_PAUSED) || !has_head || n != bytes.size()) {
         error = request_parse_error::malformed;
         return;
     }
+    head_size = bytes.size();
     head.method = http_method_str(static_cast<http_method>(state.method));
     head.is_chunked = find_header_ignoring_case(head.headers, "transfer-encoding") != nullptr;
     const auto* length = find_header_ignoring_case(head.headers, "content-length");
@@ -165,19 +196,26 @@
     else if (length != nullptr && !is_complete && state.content_length > limits.body) {
         error = request_parse_error::body_too_large;
     }
-    std::string{}.swap(head_bytes);
+    else if (length != nullptr && !is_complete) {
+        announced = state.content_length;
+    }
 }
 
 std::size_t request_reader::parser::feed_body(std::string_view bytes)
 {
     const auto n = http_parser_execute(&state, &callbacks(), bytes.data(), bytes.size());
     const auto parser_errno = HTTP_PARSER_ERRNO(&state);
+    body_bytes += n;
     if (is_complete) {
         return n;
     }
     if (parser_errno != HPE_OK && error == request_parse_error::none) {
         error = request_parse_error::malformed;
     }
+    const auto overhead = body_bytes - body.size();
+    if (overhead > free_chunk_overhead + body.size() * chunk_overhead_per_byte) {
+        error = request_parse_error::body_too_large;
+    }
     return n;
 }
 
@@ -222,6 +260,31 @@
     return parser_->head;
 }
 
+std::size_t request_reader::payload() const
+{
+    return parser_->body.size();
+}
+
+std::size_t request_reader::announced() const
+{
+    return parser_->announced;
+}
+
+std::size_t request_reader::held() const
+{
+    const auto& it = *parser_;
+    if (!it.has_head) {
+        return it.head_bytes.empty() ? 0 : it.head_bytes.capacity();
+    }
+    const auto headers = it.head.headers.size() * sizeof(http_header);
+    return it.head_size + headers + std::max(it.body.size(), it.announced);
+}
+
+request_head request_reader::take_head()
+{
+    return std::move(parser_->head);
+}
+
 std::string request_reader::take_body()
 {
     return std::move(parser_->body);
--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -16,12 +16,12 @@
 
 namespace {
 
-/// Bytes per read.
-constexpr std::size_t read_size = 65'536;
-
 /// Reads per wake-up; bounded so that one connection cannot starve the others.
 constexpr int max_reads = 4;
 
+/// Time without accepting after a connection could not be accepted for want of a descriptor.
+constexpr duration pause_without_descriptors{100'000};
+
 /// Connections accepted per wake-up.
 constexpr int max_accepts = 64;
 
@@ -84,6 +84,31 @@
     });
 }
 
+void tcp_stream::send_after_out(std::shared_ptr<const std::string> text)
+{
+    tail_ = std::move(text);
+    tail_written_ = 0;
+    flush_soon();
+}
+
+std::size_t tcp_stream::unsent() const
+{
+    const auto tail = tail_ == nullptr ? 0 : tail_->size() - tail_written_;
+    return out_.size() - out_written_ + tail;
+}
+
+void tcp_stream::limit_reads(std::size_t bytes)
+{
+    read_limit_ = std::min(bytes, max_read_size);
+}
+
+void tcp_stream::shutdown_writing()
+{
+    if (is_open_) {
+        ::shutdown(fd_, SHUT_WR);
+    }
+}
+
 void tcp_stream::close()
 {
     is_open_ = false;
@@ -114,7 +139,7 @@
 {
     is_paused_ = is_paused;
     if (is_open_) {
-        watcher_->watch({!is_paused_, !out_.empty()});
+        watcher_->watch({!is_paused_, unsent() > 0});
     }
 }
 
@@ -151,9 +176,9 @@
 
 void tcp_stream::read_all()
 {
-    thread_local std::array<char, read_size> buf;
+    thread_local std::array<char, max_read_size> buf;
     for (int i = 0; i < max_reads && is_open_ && !is_paused_; ++i) {
-        const auto n = recv(fd_, buf.data(), buf.size(), 0);
+        const auto n = recv(fd_, buf.data(), read_limit_, 0);
         if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
             return;
         }
@@ -163,8 +188,9 @@
             fail(n == 0 ? "closed by the peer" : std::strerror(errno));
             return;
         }
+        const auto wanted = read_limit_;
         callbacks_.on_data({buf.data(), static_cast<std::size_t>(n)});
-        if (static_cast<std::size_t>(n) < buf.size()) {
+        if (static_cast<std::size_t>(n) < wanted) {
             return;
         }
     }
@@ -172,19 +198,60 @@
 
 void tcp_stream::flush()
 {
-    if (!is_open_ || out_.empty()) {
+    if (!is_open_ || unsent() == 0) {
         return;
     }
-    const auto n = send(fd_, out_.data(), out_.size(), MSG_NOSIGNAL);
+    if (out_written_ < out_.size()) {
+        const auto n = write_some(std::string_view{out_}.substr(out_written_));
+        if (!n) {
+            return;
+        }
+        out_written_ += *n;
+    }
+    if (out_written_ == out_.size() && tail_ != nullptr) {
+        const auto n = write_some(std::string_view{*tail_}.substr(tail_written_));
+        if (!n) {
+            return;
+        }
+        tail_written_ += *n;
+    }
+    remove_written();
+    watcher_->watch({!is_paused_, unsent() > 0});
+    if (unsent() == 0 && callbacks_.on_written) {
+        callbacks_.on_written();
+    }
+}
+
+std::optional<std::size_t> tcp_stream::write_some(std::string_view bytes)
+{
+    const auto n = send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
     if (n < 0 && errno != EAGAIN && errno != EINTR) {
         was_closed_by_peer_ = errno == ECONNRESET || errno == EPIPE;
         fail(std::strerror(errno));
-        return;
+        return std::nullopt;
     }
-    out_.erase(0, n > 0 ? static_cast<std::size_t>(n) : 0);
-    watcher_->watch({!is_paused_, !out_.empty()});
-    if (out_.empty() && callbacks_.on_written) {
-        callbacks_.on_written();
+    const auto count = n > 0 ? static_cast<std::size_t>(n) : 0;
+    written_ += count;
+    return count;
+}
+
+void tcp_stream::remove_written()
+{
+    if (tail_ != nullptr && tail_written_ == tail_->size()) {
+        tail_ = nullptr;
+        tail_written_ = 0;
+    }
+    if (out_written_ == out_.size()) {
+        out_written_ = 0;
+        if (out_.capacity() > max_kept_capacity) {
+            std::string{}.swap(out_);
+        }
+        out_.clear();
+    }
+    else if (out_written_ * 2 > out_.size()) {
+        // Moved only when less than half is left, so that each byte is moved once on average.
+        out_.erase(0, out_written_);
+        out_written_ = 0;
     }
 }
 
@@ -198,7 +265,10 @@
 }
 
 tcp_listener::tcp_listener(event_loop& loop, std::function<void(int)> on_accepted)
-    : loop_{&loop}, on_accepted_{std::move(on_accepted)}
+    : loop_{&loop}, on_accepted_{std::move(on_accepted)}, resume_{
+                                                              loop, [this] {
+                                                                  watcher_->watch({true, false});
+                                                              }}
 {
 }
 
@@ -234,6 +304,11 @@
     for (int i = 0; i < max_accepts; ++i) {
         const int fd = accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (fd < 0) {
+            if (errno == EMFILE || errno == ENFILE) {
+                // The connection stays in the queue; without a pause the loop would spin.
+                watcher_->watch({});
+                resume_.start(pause_without_descriptors);
+            }
             return;
         }
         on_accepted_(fd);
--- a/src/traffic/traffic_answers.cpp
+++ b/src/traffic/traffic_answers.cpp
@@ -82,11 +82,20 @@
         return;
     }
     it.buffered_body += bytes;
-    if (it.buffered_body.size() > max_buffered_bytes) {
+    if (it.buffered_body.size() > buffer_limit()) {
         forward_bytes(number, it, std::exchange(it.buffered_body, {}));
     }
 }
 
+/// Returns the size up to which the body of a plain answer is buffered until complete.
+std::size_t traffic_router::buffer_limit() const
+{
+    if (settings_.buffered_answers == 0) {
+        return max_buffered_bytes;
+    }
+    return std::min(max_buffered_bytes, settings_.buffered_answers / exchanges_.size());
+}
+
 void traffic_router::handle_events(exchange_number number, exchange& it, std::string_view bytes)
 {
     std::string complete_events;
--- a/tests/entry/request_server_test.cpp
+++ b/tests/entry/request_server_test.cpp
@@ -158,5 +158,106 @@
     EXPECT_TRUE(arrived.empty());
 }
 
+constexpr std::string_view chunked_head =
+    "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+// The time for a head was applied to the whole request, so that slow links could not send bodies.
+TEST_F(server_fixture, a_body_may_take_longer_than_its_head)
+{
+    request_server_limits limits;
+    limits.header_timeout = std::chrono::milliseconds{300};
+    server.set_limits(limits);
+    send("POST /a HTTP/1.1\r\nHost: h\r\n");
+    run_for(loop, std::chrono::milliseconds{200});
+    send("Content-Length: 4\r\n\r\nbo");
+    run_for(loop, std::chrono::milliseconds{1'500});
+    send("dy");
+    wait_for(1);
+}
+
+TEST_F(server_fixture, a_head_has_its_whole_time_from_its_first_byte)
+{
+    request_server_limits limits;
+    limits.header_timeout = std::chrono::milliseconds{300};
+    server.set_limits(limits);
+    send("GET /a HTTP/1.1\r\nX: ");
+    for (int n = 0; n < 100 && !is_closed; ++n) {
+        send("x");
+        run_for(loop, std::chrono::milliseconds{30});
+    }
+    EXPECT_TRUE(is_closed);
+    EXPECT_TRUE(received.starts_with("HTTP/1.1 408 "));
+    EXPECT_EQ(server.refused(connection_refusal::slow_head), 1U);
+}
+
+// Empty lines are no request; each of them started the idle timeout anew.
+TEST_F(server_fixture, empty_lines_do_not_keep_a_connection_open)
+{
+    request_server_limits limits;
+    limits.idle_timeout = std::chrono::milliseconds{300};
+    server.set_limits(limits);
+    for (int n = 0; n < 100 && !is_closed; ++n) {
+        send("\r\n");
+        run_for(loop, std::chrono::milliseconds{30});
+    }
+    EXPECT_TRUE(is_closed);
+}
+
+TEST_F(server_fixture, a_request_without_room_is_refused_as_not_run)
+{
+    memory_budget budget;
+    budget.set_shares({100'000, 100'000, 100'000, 0});
+    server.set_budget(budget, memory_use::requests, memory_use::answers);
+    send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n" +
+         std::string(200'000, 'x'));
+    run_until(loop, [&] { return is_closed; });
+    EXPECT_TRUE(received.starts_with("HTTP/1.1 503 "));
+    EXPECT_NE(received.find("Retry-After: 1\r\n"), std::string::npos);
+    EXPECT_TRUE(arrived.empty());
+    EXPECT_EQ(budget.held(memory_use::requests), 0U);
+    connect();
+    send("POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 50000\r\n\r\n" + std::string(50'000, 'x'));
+    wait_for(1);
+    EXPECT_GT(budget.held(memory_use::requests), 50'000U);
+    server.respond(arrived[0].first, 200, {}, "whole");
+    run_until(loop, [&] { return received.ends_with("whole"); });
+    EXPECT_EQ(budget.held(memory_use::requests), 0U);
+    run_until(loop, [&] { return budget.held(memory_use::answers) == 0; });
+}
+
+// The caller must see the refusal although it is still sending.
+TEST_F(server_fixture, a_caller_that_still_sends_gets_the_refusal)
+{
+    request_server_limits limits;
+    limits.sizes.body = 1'000;
+    server.set_limits(limits);
+    connect();
+    send(chunked_head);
+    for (int n = 0; n < 200; ++n) {
+        send("400\r\n" + std::string(1'024, 'x') + "\r\n");
+    }
+    run_until(loop, [&] { return is_closed; });
+    EXPECT_TRUE(received.starts_with("HTTP/1.1 413 "));
+    EXPECT_TRUE(client->has_received_eof());
+}
+
+TEST_F(server_fixture, idle_connections_make_room_for_others)
+{
+    request_server_limits limits;
+    limits.max_connections = 2;
+    server.set_limits(limits);
+    const auto silent = std::move(client);
+    connect();
+    send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    wait_for(1);
+    run_for(loop, protected_connection_time * 2);
+    const auto busy = std::move(client);
+    connect();
+    send("GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+    wait_for(2);
+    EXPECT_EQ(server.connections(), 2U);
+    EXPECT_EQ(server.refused(connection_refusal::no_descriptor), 1U);
+}
+
 } // namespace
 } // namespace endivelatch
--- a/tests/http1/request_reader_test.cpp
+++ b/tests/http1/request_reader_test.cpp
@@ -117,5 +117,49 @@
     EXPECT_EQ(reader.error(), request_parse_error::body_too_large);
 }
 
+TEST(request_reader, refuses_chunks_whose_overhead_has_no_end)
+{
+    request_reader reader{request_limits{}};
+    reader.feed("POST /p HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n");
+    const auto piece = "1;" + std::string(1'000, 'e') + "\r\nx\r\n";
+    std::size_t fed = 0;
+    while (reader.error() == request_parse_error::none && fed < 4 * free_chunk_overhead) {
+        fed += reader.feed(piece);
+    }
+    EXPECT_EQ(reader.error(), request_parse_error::body_too_large);
+    EXPECT_GE(fed, free_chunk_overhead);
+}
+
+TEST(request_reader, takes_the_largest_body_in_chunks_of_one_byte)
+{
+    constexpr std::size_t size = 4'194'304;
+    request_reader reader{request_limits{}};
+    reader.feed("POST /p HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n");
+    std::string block;
+    for (int n = 0; n < 4'096; ++n) {
+        block += "1\r\nx\r\n";
+    }
+    for (std::size_t n = 0; n < size / 4'096; ++n) {
+        ASSERT_EQ(reader.feed(block), block.size());
+    }
+    EXPECT_EQ(reader.payload(), size);
+    reader.feed("0\r\n\r\n");
+    ASSERT_TRUE(reader.is_complete());
+    const auto body = reader.take_body();
+    EXPECT_EQ(body.size(), size);
+    EXPECT_LE(body.capacity(), size);
+}
+
+TEST(request_reader, states_what_a_request_holds)
+{
+    request_reader reader{request_limits{}};
+    const std::string head = "POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\n";
+    EXPECT_EQ(reader.held(), 0U);
+    reader.feed(head + "x");
+    EXPECT_EQ(reader.announced(), 1'000U);
+    EXPECT_EQ(reader.payload(), 1U);
+    EXPECT_EQ(reader.held(), head.size() + 2 * sizeof(http_header) + 1'000);
+}
+
 } // namespace
 } // namespace endivelatch
--- a/tests/platform_adapter/messages_test.cpp
+++ b/tests/platform_adapter/messages_test.cpp
@@ -75,7 +75,7 @@
     parameters.expected_target = target_id{"i-1"};
     parameters.organisation = organisation_id{"org"};
     parameters.time_left = std::chrono::milliseconds{1'234};
-    const auto text = protocol::write_request(request, parameters);
+    const auto text = protocol::write_request_head(request, parameters);
     EXPECT_TRUE(text.starts_with("POST /a%20/b?c HTTP/1.1\r\n"));
     for (const char* part :
          {"Host: Some.Example:80\r\n", "Endivelatch-Model: m\r\n", "X-Own: 1\r\n",
@@ -94,9 +94,10 @@
     head.is_chunked = true;
     const auto chunked =
         std::get<caller_request>(protocol::read_request(std::move(head), std::string{"ab\r\n"}));
-    const auto text = protocol::write_request(chunked, {});
-    EXPECT_TRUE(text.ends_with("Content-Length: 4\r\n\r\nab\r\n"));
-    EXPECT_EQ(protocol::write_request(read_request_with({}), {}).find("Content-Length"),
+    const auto text = protocol::write_request_head(chunked, {});
+    EXPECT_TRUE(text.ends_with("Content-Length: 4\r\n\r\n"));
+    EXPECT_EQ(chunked.body, "ab\r\n");
+    EXPECT_EQ(protocol::write_request_head(read_request_with({}), {}).find("Content-Length"),
               std::string::npos);
 }
 
