--- a/include/endivelatch/traffic/traffic_router.hpp
+++ b/include/endivelatch/traffic/traffic_router.hpp
@@ -27,6 +27,9 @@
     double cold_overage = 1;
     double cold_slack = 0;
     bool reads_evacuations = false; ///< `evacuations_changed` follows, also if there are none.
+    /// Bytes of plain answers that may be buffered until complete, over all requests; zero for no
+    /// bound.
+    std::size_t buffered_answers = 0;
 };
 
 /// Routes the requests of an entry router: checks route and API key, selects targets, retries, and
@@ -233,6 +236,7 @@
     void handle_refusal(exchange_number number, exchange& it, const target_answer& answer);
     void handle_failure(exchange_number number, exchange& it, target_answer&& answer);
     void handle_body_bytes(exchange_number number, exchange& it, std::string&& bytes);
+    std::size_t buffer_limit() const;
     void handle_events(exchange_number number, exchange& it, std::string_view bytes);
     void end_faulty_stream(exchange_number number, exchange& it, std::string_view reason);
     static bool is_cut_stream(const exchange& it);
--- a/tests/serve/evacuation_test.cpp
+++ b/tests/serve/evacuation_test.cpp
@@ -75,7 +75,7 @@
     }
 
     static constexpr int router_count = 3;
-    serve_fleet fleet{router_count, serve_fleet::network_path::direct, "EvacuateMs = 5000"};
+    serve_fleet fleet{router_count, serve_fleet::network_path::direct, {.evacuate_ms = 5'000}};
     int sent = 0;
 };
 
