Slowdowns that targets report are kept, learnt from and passed on

A target's slowdown travels beside its load in gossip packets, as an optional field: packets of deployments whose targets report none keep their bytes. machine_speed learns for each pool the mean and how long a slowdown lasts, from successive reports of the same target, and predicts the slowdown from the last report and its age.

--- a/include/endivelatch/entry/entry_process.hpp
+++ b/include/endivelatch/entry/entry_process.hpp
@@ -63,7 +63,7 @@
     void execute(end_answer& e);
     void execute(abort_answer& e);
     void execute(refuse_request& e);
-    void execute(const share_load& e) { fleet_.publish_load(e.target, e.in_flight); }
+    void execute(const share_load& e) { fleet_.publish_load(e); }
     void execute(const share_failure& e) { fleet_.publish_failure(e.target); }
     void execute(const share_limit& e) { fleet_.publish_limit(e.target, e.limit); }
     void execute(write_log& e) { write(std::move(e.event)); }
--- a/include/endivelatch/entry/fleet_view.hpp
+++ b/include/endivelatch/entry/fleet_view.hpp
@@ -19,8 +19,9 @@
 /// product's own routers, because callers cache entry addresses only for a few seconds.
 membership_settings entry_membership_settings();
 
-/// Returns how many load reports can be added to a gossip packet of the given encoded size.
-std::size_t load_report_capacity(std::size_t packet_size);
+/// Returns how many load reports, with or without slowdowns, can be added to a gossip packet of the
+/// given encoded size.
+std::size_t load_report_capacity(std::size_t packet_size, bool has_slowdowns = false);
 
 /// Returns how many failure reports can be added to a gossip packet of the given encoded size.
 std::size_t failure_report_capacity(std::size_t packet_size);
@@ -82,7 +83,7 @@
     void publish_copy(object_kind kind, store_revision revision);
 
     /// Announces a load that a target has just reported.
-    void publish_load(target_key target, std::uint32_t in_flight);
+    void publish_load(const share_load& load);
 
     /// Announces that a target has failed to answer this router.
     void publish_failure(target_key target);
--- a/include/endivelatch/membership/packet_size.hpp
+++ b/include/endivelatch/membership/packet_size.hpp
@@ -23,6 +23,9 @@
 /// Maximum size of a load report in bytes: target, requests and age with their field headers.
 inline constexpr std::size_t load_report_size = 20;
 
+/// Maximum size of the slowdown in a load report in bytes, with its field header.
+inline constexpr std::size_t slowdown_size = 4;
+
 /// Maximum size of a failure report in bytes: target, reporter and age with their field headers.
 inline constexpr std::size_t failure_report_size = 20;
 
--- a/include/endivelatch/traffic/target_state.hpp
+++ b/include/endivelatch/traffic/target_state.hpp
@@ -5,6 +5,7 @@
 #include "endivelatch/membership/failure_table.hpp"
 #include "endivelatch/membership/load_table.hpp"
 #include "endivelatch/membership/member.hpp"
+#include "endivelatch/traffic/machine_speed.hpp"
 #include "endivelatch/traffic/request.hpp"
 #include "endivelatch/traffic/shared_limit.hpp"
 
@@ -86,9 +87,13 @@
     /// Records that a request has ended.
     void remove_request();
 
-    /// Updates the number of requests that the target reported, over all routers. Reports that are
-    /// not newer than the last one are ignored.
-    void update_load(std::uint32_t in_flight, time_point reported_at);
+    /// Updates the number of requests that the target reported, over all routers, and its slowdown
+    /// if it reported one. Reports that are not newer than the last one are ignored.
+    void update_load(std::uint32_t in_flight, time_point reported_at,
+                     std::optional<double> slowdown = std::nullopt);
+
+    /// Returns the last reported slowdown, if any.
+    const std::optional<slowdown_report>& slowdown() const { return slowdown_; }
 
     /// Returns the key of the target in load reports.
     target_key key() const { return key_; }
@@ -240,6 +245,7 @@
     std::optional<std::uint32_t> reported_; ///< Requests in flight by the last report.
     std::uint32_t own_in_flight_at_report_ = 0;
     time_point reported_at_{};
+    std::optional<slowdown_report> slowdown_;
     time_point full_until_{};
     bool has_stated_leaving_ = false;
     time_point paused_until_{};
--- a/include/endivelatch/traffic/traffic_event.hpp
+++ b/include/endivelatch/traffic/traffic_event.hpp
@@ -91,6 +91,7 @@
     target_key target;
     std::uint32_t in_flight = 0; ///< Over all routers.
     time_point reported_at{};
+    std::optional<double> slowdown = std::nullopt; ///< As in `target_load`.
 };
 
 /// Load reports were received from other routers.
@@ -204,7 +205,8 @@
 /// Shares a target's current load report with other routers.
 struct share_load {
     target_key target;
-    std::uint32_t in_flight = 0; ///< Over all routers.
+    std::uint32_t in_flight = 0;                   ///< Over all routers.
+    std::optional<double> slowdown = std::nullopt; ///< As in `target_load`.
 };
 
 /// Shares a failure of a target with other routers.
--- a/include/endivelatch/traffic/traffic_router.hpp
+++ b/include/endivelatch/traffic/traffic_router.hpp
@@ -198,6 +198,8 @@
     bool may_have_crashed_targets(const exchange& it) const;
 
     // Statements of targets about themselves, in traffic_statements.cpp.
+    void record_load(target_state& target, std::uint32_t in_flight, std::optional<double> slowdown,
+                     time_point reported_at);
     void record_statements(target_state& target, const target_answer& answer);
     void record_limit(target_state& target, const target_answer& answer);
     void apply_limit(target_state& target, std::optional<request_rate> limit, time_point stated_at,
@@ -234,6 +236,7 @@
     std::set<std::pair<time_point, exchange_number>> timers_;
     std::map<pool_id, retry_budget> budgets_;
     std::map<pool_id, work_estimate> work_;
+    std::map<pool_id, machine_speed> speeds_; ///< Of pools whose targets report slowdowns.
     crash_evidence crashes_;
     counters metrics_;
     std::optional<stop_announced> stop_;
--- a/src/entry/fleet_view.cpp
+++ b/src/entry/fleet_view.cpp
@@ -56,10 +56,11 @@
     return settings;
 }
 
-std::size_t load_report_capacity(std::size_t packet_size)
+std::size_t load_report_capacity(std::size_t packet_size, bool has_slowdowns)
 {
     const auto available = max_gossip_size - std::min(packet_size, max_gossip_size);
-    return std::min(available / load_report_size, load_table::max_reports_per_packet);
+    const auto report_size = load_report_size + (has_slowdowns ? slowdown_size : 0);
+    return std::min(available / report_size, load_table::max_reports_per_packet);
 }
 
 std::size_t failure_report_capacity(std::size_t packet_size)
@@ -136,9 +137,9 @@
     membership_.publish(copy_key(kind), summary_scope::fleet, std::to_string(revision.value()));
 }
 
-void fleet_view::publish_load(target_key target, std::uint32_t in_flight)
+void fleet_view::publish_load(const share_load& load)
 {
-    loads_.update(target, in_flight, loop_->now());
+    loads_.update(load.target, load.in_flight, loop_->now(), load.slowdown);
 }
 
 void fleet_view::publish_failure(target_key target)
@@ -246,8 +247,8 @@
     std::vector<received_load> newer;
     for (const auto& load : loads) {
         const auto reported_at = loop_->now() - load.age;
-        if (loads_.update(load.target, load.in_flight, reported_at)) {
-            newer.push_back({load.target, load.in_flight, reported_at});
+        if (loads_.update(load.target, load.in_flight, reported_at, load.slowdown)) {
+            newer.push_back({load.target, load.in_flight, reported_at, load.slowdown});
         }
     }
     if (!newer.empty()) {
@@ -295,7 +296,7 @@
     size = packet.limits.empty() ? size : encode(packet).size();
     packet.failures = failures_.newest(failure_report_capacity(size), loop_->now());
     size = packet.failures.empty() ? size : encode(packet).size();
-    packet.loads = loads_.newest(load_report_capacity(size), loop_->now());
+    packet.loads = loads_.newest(load_report_capacity(size, loads_.has_slowdowns()), loop_->now());
 }
 
 void fleet_view::send_load_packets()
--- a/src/membership/load_table.cpp
+++ b/src/membership/load_table.cpp
@@ -11,13 +11,16 @@
     return target_key{static_cast<std::uint32_t>(stable_hash(id.str()))};
 }
 
-bool load_table::update(target_key target, std::uint32_t in_flight, time_point reported_at)
+bool load_table::update(target_key target, std::uint32_t in_flight, time_point reported_at,
+                        std::optional<double> slowdown)
 {
-    const auto [it, is_new] = reports_.try_emplace(target, record{in_flight, reported_at});
+    const record report{in_flight, reported_at, slowdown};
+    const auto [it, is_new] = reports_.try_emplace(target, report);
     if (!is_new && it->second.reported_at >= reported_at) {
         return false;
     }
-    it->second = {in_flight, reported_at};
+    it->second = report;
+    has_slowdowns_ = has_slowdowns_ || slowdown;
     return true;
 }
 
@@ -27,7 +30,8 @@
     std::vector<load_report> sorted;
     sorted.reserve(reports_.size());
     for (const auto& [target, it] : reports_) {
-        sorted.push_back({target, it.in_flight, std::max(now - it.reported_at, duration{})});
+        sorted.push_back(
+            {target, it.in_flight, std::max(now - it.reported_at, duration{}), it.slowdown});
     }
     const auto last =
         sorted.begin() + static_cast<std::ptrdiff_t>(std::min(max_count, sorted.size()));
--- a/src/traffic/target_state.cpp
+++ b/src/traffic/target_state.cpp
@@ -87,7 +87,8 @@
     own_in_flight_ -= std::min(own_in_flight_, 1U);
 }
 
-void target_state::update_load(std::uint32_t in_flight, time_point reported_at)
+void target_state::update_load(std::uint32_t in_flight, time_point reported_at,
+                               std::optional<double> slowdown)
 {
     if (reported_ && reported_at <= reported_at_) {
         return;
@@ -99,6 +100,9 @@
     reported_ = in_flight;
     own_in_flight_at_report_ = own_in_flight_ - std::min(own_in_flight_, sent_later);
     reported_at_ = reported_at;
+    if (slowdown) {
+        slowdown_ = {*slowdown, reported_at};
+    }
 }
 
 void target_state::record_outcome(attempt_outcome outcome, time_point now)
--- a/src/traffic/traffic_router.cpp
+++ b/src/traffic/traffic_router.cpp
@@ -80,6 +80,11 @@
                      labels);
         metrics_.set("service_time_us", std::llround(work.service_time_ms() * 1'000), labels);
     }
+    for (const auto& [pool, speed] : speeds_) {
+        const auto labels = "pool=\"" + pool.str() + '"';
+        metrics_.set("mean_slowdown_percent", std::llround(speed.mean() * 100), labels);
+        metrics_.set("slowdown_persistence_ms", speed.persistence().count() / 1'000, labels);
+    }
 }
 
 void traffic_router::on(request_arrived& e)
@@ -145,8 +150,8 @@
     if (auto* target = target_of(state); target != nullptr && e.answer.load) {
         const auto in_flight = e.answer.load->running + e.answer.load->waiting;
         crashes_.record_sign_of_life(target->key(), now_);
-        target->update_load(in_flight, now_);
-        effects_.emplace_back(share_load{target->key(), in_flight});
+        record_load(*target, in_flight, e.answer.load->slowdown, now_);
+        effects_.emplace_back(share_load{target->key(), in_flight, e.answer.load->slowdown});
     }
     if (!e.answer.answered_attempt.empty() && e.answer.answered_attempt != state.request->id) {
         metrics_.add("answers_of_other_requests");
@@ -256,7 +261,7 @@
 {
     for (const auto& it : e.loads) {
         if (auto* target = targets_.find(it.target)) {
-            target->update_load(it.in_flight, it.reported_at);
+            record_load(*target, it.in_flight, it.slowdown, it.reported_at);
             crashes_.record_sign_of_life(it.target, it.reported_at);
         }
     }
--- a/src/traffic/traffic_statements.cpp
+++ b/src/traffic/traffic_statements.cpp
@@ -25,6 +25,18 @@
     metrics_.add("limits_heard", e.limits.size());
 }
 
+/// Records the load that a target has reported, and how its slowdown has changed.
+void traffic_router::record_load(target_state& target, std::uint32_t in_flight,
+                                 std::optional<double> slowdown, time_point reported_at)
+{
+    const auto former = target.slowdown();
+    target.update_load(in_flight, reported_at, slowdown);
+    const auto& last = target.slowdown();
+    if (former && last && *former != *last) {
+        speeds_[target.registration().pool].record(*former, *last);
+    }
+}
+
 /// Records what the target states of itself in an answer. 421 comes from another target.
 void traffic_router::record_statements(target_state& target, const target_answer& answer)
 {
--- a/src/wire/endivelatch.thrift
+++ b/src/wire/endivelatch.thrift
@@ -192,6 +192,7 @@
   1: i32 target
   2: i32 in_flight
   3: i32 age_ms
+  4: optional i32 slowdown_percent
 }
 
 /** The fields `target` and `reporter` are hashes of the ids. */
--- a/src/wire/gossip_codec.cpp
+++ b/src/wire/gossip_codec.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <limits>
 #include <string>
 #include <utility>
@@ -153,18 +154,28 @@
     return std::chrono::milliseconds{checked<std::uint32_t>(ms, 0, max_age_ms)};
 }
 
+constexpr double percent = 100;
+
 thrift_wire::load_item to_struct(const load_report& it)
 {
     thrift_wire::load_item out;
     out.target = to_signed(it.target.value());
     out.in_flight = to_signed(it.in_flight);
     out.age_ms = to_age_ms(it.age);
+    if (it.slowdown && is_plausible_slowdown(*it.slowdown)) {
+        out.__set_slowdown_percent(static_cast<std::int32_t>(std::lround(*it.slowdown * percent)));
+    }
     return out;
 }
 
 load_report from_struct(const thrift_wire::load_item& it)
 {
-    return {target_key{to_unsigned(it.target)}, to_unsigned(it.in_flight), from_age_ms(it.age_ms)};
+    load_report out{
+        target_key{to_unsigned(it.target)}, to_unsigned(it.in_flight), from_age_ms(it.age_ms), {}};
+    if (it.__isset.slowdown_percent && is_plausible_slowdown(it.slowdown_percent / percent)) {
+        out.slowdown = it.slowdown_percent / percent;
+    }
+    return out;
 }
 
 thrift_wire::failure_item to_struct(const failure_report& it)
--- a/tests/entry/load_report_capacity_test.cpp
+++ b/tests/entry/load_report_capacity_test.cpp
@@ -27,6 +27,18 @@
     }
 }
 
+TEST(load_report_capacity, keeps_packets_with_slowdowns_within_the_maximum_size)
+{
+    for (std::size_t filled = 0; filled < max_gossip_size; filled += 13) {
+        gossip_packet packet;
+        packet.from = router_id{std::string(filled, 'x')};
+        constexpr auto largest = std::numeric_limits<std::uint32_t>::max() / 2;
+        const load_report report{target_key{largest}, largest, load_table::lifetime, max_slowdown};
+        packet.loads.assign(load_report_capacity(encode(packet).size(), true), report);
+        EXPECT_TRUE(packet.loads.empty() || encode(packet).size() <= max_gossip_size) << filled;
+    }
+}
+
 TEST(limit_report_capacity, keeps_packets_within_the_maximum_size)
 {
     for (std::size_t filled = 0; filled < max_gossip_size; filled += 13) {
--- a/tests/membership/load_table_test.cpp
+++ b/tests/membership/load_table_test.cpp
@@ -38,6 +38,19 @@
     EXPECT_EQ(newest[1], (load_report{second, 2, milliseconds{200}}));
 }
 
+TEST(load_table, passes_slowdowns_on)
+{
+    manual_clock clock;
+    load_table table;
+    table.update(first, 1, clock.now());
+    EXPECT_FALSE(table.has_slowdowns());
+    table.update(second, 2, clock.now(), 2.5);
+    EXPECT_TRUE(table.has_slowdowns());
+    for (const auto& it : table.newest(9, clock.now())) {
+        EXPECT_EQ(it.slowdown, it.target == second ? std::optional{2.5} : std::nullopt);
+    }
+}
+
 TEST(load_table, removes_expired_reports)
 {
     manual_clock clock;
--- a/tests/wire/codec_test.cpp
+++ b/tests/wire/codec_test.cpp
@@ -84,6 +84,37 @@
     EXPECT_EQ(*out.body, *message.body);
 }
 
+TEST(messages, keep_each_field_of_a_load_report)
+{
+    gossip_packet packet;
+    packet.loads = {{target_key{7}, 12, std::chrono::milliseconds{250}, 2.5},
+                    {target_key{8}, 3, std::chrono::milliseconds{40}, std::nullopt}};
+    EXPECT_EQ(value_of(decode_gossip(encode(packet))).loads, packet.loads);
+}
+
+TEST(messages, load_reports_without_slowdown_have_the_same_bytes_as_before_it_existed)
+{
+    gossip_packet packet;
+    packet.loads = {{target_key{7}, 12, std::chrono::milliseconds{250}, std::nullopt}};
+    // The fields 1 to 3 as 32-bit numbers in variable length, and the end of the struct.
+    const std::string expected{"\x15\x0e\x15\x18\x15\xf4\x03\x00", 8};
+    EXPECT_NE(encode(packet).find(expected), std::string::npos);
+    packet.loads.front().slowdown = 1;
+    EXPECT_EQ(encode(packet).find(expected), std::string::npos);
+}
+
+TEST(messages, implausible_slowdowns_of_load_reports_are_ignored)
+{
+    for (const auto slowdown : {0.0, -1.0, 0.05, 1e9}) {
+        gossip_packet packet;
+        packet.loads = {{target_key{7}, 12, std::chrono::milliseconds{250}, slowdown}};
+        const auto loads = value_of(decode_gossip(encode(packet))).loads;
+        ASSERT_EQ(loads.size(), 1U);
+        EXPECT_EQ(loads.front().in_flight, 12U);
+        EXPECT_FALSE(loads.front().slowdown);
+    }
+}
+
 TEST(messages, with_excessive_lengths_are_rejected_before_allocation)
 {
     // A message header whose first field, a string, has a declared length of 2 GB.
--- a/tests/wire/message_samples.hpp
+++ b/tests/wire/message_samples.hpp
@@ -116,7 +116,8 @@
                       summary_scope::fleet,
                       ""}};
     out.loads = {{target_key{7}, 12, std::chrono::milliseconds{250}},
-                 {target_key{0xFFFF'FFFF}, 0, duration{}}};
+                 {target_key{0xFFFF'FFFF}, 0, duration{}},
+                 {target_key{8}, 3, std::chrono::milliseconds{40}, 2.5}};
     out.crashes.reports = {{crash_report_id{~0ULL}, target_key{0xFFFF'FFFF},
                             std::chrono::milliseconds{200}, std::chrono::seconds{600},
                             std::vector(max_parts_per_crash_report, part_key{~0ULL - 1}),
