Plain services avoid targets that are slow now

The expected time at a target counts its slowdown: the last report, as far as it still holds, otherwise the mean.

--- a/include/endivelatch/traffic/machine_speed.hpp
+++ b/include/endivelatch/traffic/machine_speed.hpp
@@ -26,6 +26,9 @@
     /// otherwise the mean. Returns 1 while no report is known.
     double expected(const std::optional<slowdown_report>& last, time_point now) const;
 
+    /// Returns whether the targets' reports differ.
+    bool varies() const { return variance_ > 0; }
+
     /// Returns the mean slowdown of the pool's targets.
     double mean() const { return mean_; }
 
--- a/include/endivelatch/traffic/target_choice.hpp
+++ b/include/endivelatch/traffic/target_choice.hpp
@@ -24,6 +24,7 @@
     double load_bound = 2;          ///< Maximum load of a target, relative to the mean.
     const std::set<target_id>* tried = nullptr; ///< Targets that were already tried.
     work_estimate work;                         ///< Of the pool's targets.
+    machine_speed speed;                        ///< Of the pool's targets.
 };
 
 /// The selected target and the estimates behind the selection.
@@ -34,6 +35,7 @@
     double cost_ms = 0;               ///< Expected time to the first token, or to a free slot.
     std::uint32_t prefill_tokens = 0; ///< Prompt tokens that are probably not cached at the target.
     duration wait{};                  ///< Expected queueing time before the prefill starts.
+    double slowdown = 1;              ///< Expected time of work, relative to the usual time.
     bool is_home = false;             ///< Highest rendezvous weight for the prompt.
     /// Target that probably caches shared parts that the selected target does not.
     std::optional<endpoint> fetch_from;
@@ -62,6 +64,9 @@
 inline constexpr double own_count_weight = 1;
 /// Cost of a target in another failure domain, in ms: round trip and transfer of the body.
 inline constexpr double cross_domain_ms = 4;
+/// Number of targets of a plain service among which a request chooses if their speeds change. With
+/// two, a target that many routers consider fast still gets at most about twice its part.
+inline constexpr std::size_t spread_choices = 2;
 /// Requests that may queue at a plain target, as a share of its slots.
 inline constexpr double service_queue_share = 1.0;
 /// Requests that each target may hold above the load bound, so that small pools remain usable.
--- a/src/traffic/target_choice.cpp
+++ b/src/traffic/target_choice.cpp
@@ -7,6 +7,7 @@
 #include <limits>
 #include <numeric>
 #include <span>
+#include <utility>
 #include <vector>
 
 namespace endivelatch {
@@ -20,6 +21,7 @@
     double cost_ms = 0;
     std::uint32_t prefill_tokens = 0;
     duration wait{};
+    double slowdown = 1; ///< Expected time of work, relative to the usual time.
     bool is_home = false;
     bool is_acting_home = false;   ///< Highest rendezvous weight of the available targets.
     bool has_failed = false;       ///< Ejected, or suspected by other routers.
@@ -94,6 +96,7 @@
         c.target = it;
         c.in_flight = it->own_in_flight() + it->others_in_flight(expected, now);
         c.rank = rendezvous_weight(placement, it->hash());
+        c.slowdown = query.speed.expected(it->slowdown(), now);
         c.has_failed = it->is_ejected(now);
         all.push_back(c);
     }
@@ -151,22 +154,24 @@
     it.wait = it.target->expected_wait(query.priority, now);
     const auto wait_ms = std::chrono::duration<double, std::milli>{it.wait}.count();
     const auto rate = query.work.prefill_tokens_per_ms();
-    const auto queued_ms = static_cast<double>(it.target->prefill_tokens()) / rate;
-    it.cost_ms = it.prefill_tokens / rate + std::max(wait_ms, queued_ms) +
-                 it.in_flight * engine_ms_per_request + domain_cost(query, it);
+    const auto queued_ms = static_cast<double>(it.target->prefill_tokens()) / rate * it.slowdown;
+    it.cost_ms = it.prefill_tokens / rate * it.slowdown + std::max(wait_ms, queued_ms) +
+                 it.in_flight * engine_ms_per_request * it.slowdown + domain_cost(query, it);
 }
 
 /// Estimates the wait for a slot, plus a small cost for each occupied slot. Slots that other
 /// routers occupy count less: their number changes within a service time, and routers that followed
-/// the same report would all choose the same target.
+/// the same report would all choose the same target. The time of the request itself counts as far
+/// as it differs from the mean.
 void estimate_service_cost(const choice_query& query, candidate& it)
 {
     const double slots = std::max(it.target->registration().slots, 1U);
     const double own = it.target->own_in_flight();
     const auto waiting = std::max(0.0, it.in_flight + 1 - slots);
     const auto occupied = own + others_slot_weight * (it.in_flight - own);
-    it.cost_ms =
-        (waiting + occupied) * query.work.service_time_ms() / slots + domain_cost(query, it);
+    const auto service_ms = query.work.service_time_ms();
+    it.cost_ms = (waiting + occupied) * service_ms / slots * it.slowdown + domain_cost(query, it) +
+                 service_ms * (it.slowdown - query.speed.mean());
 }
 
 /// Returns the usable share of the load bound, which decreases with the age of the load report.
@@ -243,6 +248,25 @@
     return a.cost_ms < b.cost_ms || (a.cost_ms == b.cost_ms && a.rank > b.rank);
 }
 
+/// Returns the best of the targets, or null if there are none. Requests to a plain service whose
+/// targets change their speed choose among the few with the highest rendezvous weights for the
+/// request: all routers know the same speeds, and would otherwise send everything to the target
+/// that was fast last.
+const candidate* find_best(const choice_query& query, std::vector<const candidate*>&& eligible)
+{
+    if (query.prompt == nullptr && query.speed.varies()) {
+        const auto count = std::min(eligible.size(), spread_choices);
+        const auto end = eligible.begin() + static_cast<std::ptrdiff_t>(count);
+        std::partial_sort(eligible.begin(), end, eligible.end(),
+                          [](const auto* a, const auto* b) { return a->rank > b->rank; });
+        eligible.erase(end, eligible.end());
+    }
+    const auto it =
+        std::min_element(eligible.begin(), eligible.end(),
+                         [&](const auto* a, const auto* b) { return is_better(query, *a, *b); });
+    return it == eligible.end() ? nullptr : *it;
+}
+
 /// Returns the mean load of the targets without a rate limit, or of all if each has one. Limited
 /// targets hold less than their part, so the others have to hold more.
 double mean_in_flight(const std::vector<candidate>& all)
@@ -360,7 +384,8 @@
     const auto mean = mean_in_flight(all);
     mark_homes(query, all, now);
 
-    const candidate* best = nullptr;
+    std::vector<const candidate*> eligible;
+    eligible.reserve(all.size());
     const candidate* fallback = nullptr; ///< Above its bound or ejected, but without obstacle.
     bool is_any_declining = false;
     for (auto& it : all) {
@@ -371,12 +396,13 @@
                                 : estimate_service_cost(query, it);
         is_any_declining = is_any_declining || declines(*it.target, now);
         if (is_below_bound(query, it, mean, now)) {
-            best = best == nullptr || is_better(query, it, *best) ? &it : best;
+            eligible.push_back(&it);
         }
         else if (!it.target->obstacle(now)) {
             fallback = fallback == nullptr || it.in_flight < fallback->in_flight ? &it : fallback;
         }
     }
+    const auto* best = find_best(query, std::move(eligible));
     if (best == nullptr && query.tried != nullptr && query.tried->size() >= all.size()) {
         return no_target_reason::all_tried;
     }
@@ -391,14 +417,10 @@
         best->wait > max_expected_wait(query.objective, query.priority)) {
         return no_target_reason::all_late;
     }
-    return chosen_target{best->target,
-                         best->in_flight,
-                         mean,
-                         best->cost_ms,
-                         best->prefill_tokens,
-                         best->wait,
-                         best->is_home,
-                         find_fetch_source(query, table, *best, now)};
+    return chosen_target{
+        best->target,   best->in_flight,      mean,
+        best->cost_ms,  best->prefill_tokens, best->wait,
+        best->slowdown, best->is_home,        find_fetch_source(query, table, *best, now)};
 }
 
 } // namespace endivelatch
--- a/src/traffic/traffic_attempts.cpp
+++ b/src/traffic/traffic_attempts.cpp
@@ -34,6 +34,9 @@
     query.load_bound = settings_.load_bound;
     query.tried = &it.tried;
     query.work = work_[it.pool];
+    if (const auto speed = speeds_.find(it.pool); speed != speeds_.end()) {
+        query.speed = speed->second;
+    }
     const auto result = choose_target(query, targets_, now_);
     if (const auto* reason = std::get_if<no_target_reason>(&result)) {
         log(log_event{"no_target"}
@@ -119,6 +122,7 @@
             .add("wait_ms", chosen.wait.count() / 1'000)
             .add("cost_ms", with_one_decimal(chosen.cost_ms))
             .add("load_age_ms", age ? age->count() / 1'000 : -1)
+            .add("slowdown", with_one_decimal(chosen.slowdown))
             .add("config", configuration_->version().value())
             .add("revision", targets_revision_));
     target.add_request(running.sent);
