--- a/src/traffic/machine_speed.cpp
+++ b/src/traffic/machine_speed.cpp
@@ -11,6 +11,9 @@
 constexpr double min_correlation = 0.01;
 constexpr double max_correlation = 0.99;
 
+/// Weight below which a report is ignored, so that routers with old reports choose alike.
+constexpr double min_report_weight = 0.01;
+
 double to_seconds(duration time)
 {
     return std::chrono::duration<double>{time}.count();
@@ -56,7 +59,8 @@
         return mean_;
     }
     const auto age = std::max(now - last->at, duration{});
-    return mean_ + (last->slowdown - mean_) * std::exp(-to_seconds(age) / to_seconds(lasts));
+    const auto weight = std::exp(-to_seconds(age) / to_seconds(lasts));
+    return weight < min_report_weight ? mean_ : mean_ + (last->slowdown - mean_) * weight;
 }
 
 } // namespace endivelatch
--- a/tests/traffic/target_choice_test.cpp
+++ b/tests/traffic/target_choice_test.cpp
@@ -123,6 +123,69 @@
     EXPECT_EQ(choose().prefill_tokens, 9'000U);
 }
 
+/// Returns what is known after reports of a target that is slow for 0.3 of the time, 500 ms each.
+machine_speed learn_speeds()
+{
+    machine_speed speed;
+    constexpr int reports = 1'000;
+    const auto slowdown_at = [](int n) { return n / 5 % 3 == 0 ? 2.5 : 1; };
+    for (int n = 0; n < reports; ++n) {
+        const auto at = time_point{} + std::chrono::milliseconds{n * 100};
+        speed.record({slowdown_at(n), at},
+                     {slowdown_at(n + 1), at + std::chrono::milliseconds{100}});
+    }
+    return speed;
+}
+
+TEST_F(choice_fixture, an_engine_that_is_slow_now_takes_no_spillover)
+{
+    query.prompt = &prompt;
+    query.speed = learn_speeds();
+    choose().target->add_request({clock.now(), 0, 30'000});
+    auto* spillover = choose().target;
+    spillover->update_load(0, clock.now(), 2.5);
+    EXPECT_NE(choose().target, spillover);
+    EXPECT_LT(choose().slowdown, 2);
+    clock.advance(seconds{4}); // The report says nothing any more.
+    EXPECT_EQ(choose().target, spillover);
+    query.speed = {};
+    spillover->update_load(0, clock.now());
+    const auto unknown = choose();
+    EXPECT_EQ(unknown.target, spillover);
+    EXPECT_EQ(unknown.slowdown, 1);
+}
+
+TEST_F(choice_fixture, a_plain_service_takes_the_faster_of_two_targets)
+{
+    query.speed = learn_speeds();
+    auto& first = *choose().target;
+    first.update_load(0, clock.now(), 2.5);
+    const auto second = choose();
+    EXPECT_NE(second.target, &first);
+    EXPECT_LT(second.slowdown, 2);
+    // Both are slow: no third target takes what all routers would send to it.
+    second.target->update_load(0, clock.now(), 2.5);
+    EXPECT_GT(choose().slowdown, 2);
+}
+
+TEST_F(choice_fixture, targets_that_are_always_equally_fast_are_chosen_as_without_figures)
+{
+    std::vector<target_id> expected;
+    for (query.request_hash = 0; query.request_hash < 50; ++query.request_hash) {
+        expected.push_back(choose().target->registration().id);
+    }
+    for (int n = 0; n < 50; ++n) {
+        const auto at = time_point{} + std::chrono::milliseconds{n * 100};
+        query.speed.record({1, at}, {1, at + std::chrono::milliseconds{100}});
+    }
+    for (int n = 1; n <= target_count; ++n) {
+        target(n).update_load(0, clock.now(), 1);
+    }
+    for (query.request_hash = 0; query.request_hash < 50; ++query.request_hash) {
+        EXPECT_EQ(choose().target->registration().id, expected.at(query.request_hash));
+    }
+}
+
 TEST_F(choice_fixture, a_prompt_that_spills_over_is_fetched_from_its_home)
 {
     query.prompt = &prompt;
