Requests wait in the router while no target has room, in the order of what a refusal costs callers

Cause: a router refused at once, or sent to targets that answered late. Switched on by the settings only.

--- a/include/endivelatch/entry/entry_process_life.hpp
+++ b/include/endivelatch/entry/entry_process_life.hpp
@@ -161,7 +161,8 @@
 traffic_settings entry_process<Protocol>::settings_for_traffic() const
 {
     const auto& bounds = settings_.bounds;
-    return {settings_.domain, bounds.retry_share, bounds.retry_burst, bounds.load_bound};
+    return {settings_.domain, bounds.retry_share, bounds.retry_burst, bounds.load_bound,
+            bounds.waits_for_room};
 }
 
 template <entry_protocol Protocol>
--- a/include/endivelatch/entry/entry_settings.hpp
+++ b/include/endivelatch/entry/entry_settings.hpp
@@ -15,6 +15,7 @@
     double retry_share = 0.2;           ///< Retries per request, over the whole fleet.
     double retry_burst = 10;            ///< Retries of the fleet allowed without requests.
     double load_bound = 2;              ///< Maximum load of a target relative to its pool's mean.
+    bool waits_for_room = false;        ///< Requests wait while no target has room for them.
     duration stop_grace{8'000'000};     ///< From the stop signal until the process is killed.
     duration entry_lifetime{1'000'000}; ///< How long callers may cache a list of entry addresses.
 
--- a/include/endivelatch/traffic/target_choice.hpp
+++ b/include/endivelatch/traffic/target_choice.hpp
@@ -23,7 +23,12 @@
     std::uint32_t routers = 1;      ///< Live routers, including this one.
     double load_bound = 2;          ///< Maximum load of a target, relative to the mean.
     const std::set<target_id>* tried = nullptr; ///< Targets that were already tried.
-    work_estimate work;                         ///< Of the pool's targets.
+    /// The request can wait in the router. Then a plain target gets no more than it can answer
+    /// within the objective.
+    bool may_wait = false;
+    /// Share of what a plain target may hold that is left to more urgent requests.
+    double reserved_share = 0;
+    work_estimate work; ///< Of the pool's targets.
 };
 
 /// The selected target and the estimates behind the selection.
@@ -46,6 +51,7 @@
     all_full,        ///< Every untried target refused a request recently.
     all_decline,     ///< As before, or it stated that it wants no request of this router now.
     all_late,        ///< The expected wait is too long at the best target.
+    all_busy,        ///< Every untried target holds what it can answer in time.
 };
 
 /// Returns the name used in logs, such as `all_full`.
@@ -100,6 +106,10 @@
 /// Returns the expected wait above which a request is refused.
 duration max_expected_wait(duration objective, std::uint32_t priority);
 
+/// Returns how many requests a plain target may hold so that one more is answered within the
+/// objective.
+double timely_requests(std::uint32_t slots, duration objective, double service_time_ms);
+
 /// Selects a target below its load bound: among targets that are on time the one with the fewest
 /// tokens to prefill, otherwise the one with the lowest cost.
 target_choice choose_target(const choice_query& query, const target_table& table, time_point now);
--- a/include/endivelatch/traffic/traffic_router.hpp
+++ b/include/endivelatch/traffic/traffic_router.hpp
@@ -7,6 +7,7 @@
 #include "endivelatch/traffic/event_splitter.hpp"
 #include "endivelatch/traffic/target_choice.hpp"
 #include "endivelatch/traffic/traffic_event.hpp"
+#include "endivelatch/traffic/waiting_queue.hpp"
 
 #include <deque>
 #include <map>
@@ -19,10 +20,11 @@
 
 /// Settings of the traffic router.
 struct traffic_settings {
-    domain_id domain;         ///< Failure domain of this router.
-    double retry_share = 0.2; ///< Fleet-wide retries per request.
-    double retry_burst = 10;  ///< Fleet-wide retries that need no preceding requests.
-    double load_bound = 2;    ///< Maximum load of a target, relative to the mean of its pool.
+    domain_id domain;            ///< Failure domain of this router.
+    double retry_share = 0.2;    ///< Fleet-wide retries per request.
+    double retry_burst = 10;     ///< Fleet-wide retries that need no preceding requests.
+    double load_bound = 2;       ///< Maximum load of a target, relative to the mean of its pool.
+    bool waits_for_room = false; ///< Requests wait while no target has room for them.
 };
 
 /// Routes the requests of an entry router: checks route and API key, selects targets, retries, and
@@ -43,6 +45,9 @@
     /// Returns the number of requests in progress.
     std::size_t active() const { return exchanges_.size(); }
 
+    /// Returns the number of requests that wait for room at a target.
+    std::size_t waiting() const;
+
     /// Returns the current configuration, or null.
     const traffic_configuration* configuration() const { return configuration_.get(); }
 
@@ -98,6 +103,22 @@
     static constexpr double accepting_share = 0.5;
     /// Retry-After of a stopping router; short, because other routers can serve immediately.
     static constexpr duration stop_retry_after{20'000};
+    /// Interval at which the room for waiting requests is checked besides the ends of this router's
+    /// own attempts: load reports and the ends of obstacles may show room at any time.
+    static constexpr duration waiting_check_interval{10'000};
+    /// Memory of a waiting request besides its body, in bytes.
+    static constexpr std::size_t waiting_overhead = 4'096;
+    /// Share of what a plain target may hold that a request leaves to more urgent ones, for each
+    /// step of its priority, and the number of steps that count. Routers keep the order of
+    /// priorities among each other in this way, as most have at most one waiting request.
+    static constexpr double reserved_share_step = 0.1;
+    static constexpr std::uint32_t max_reserved_steps = 3;
+    /// A request that was refused before is ordered as if it had arrived earlier by this share of
+    /// its objective. With a much larger share, nearly all room goes to callers that were refused
+    /// once while an overload lasts, and hardly anybody is served at the first try.
+    static constexpr double return_advance_share = 0.02;
+    /// Share of the time that a caller has left within which it returns after a refusal.
+    static constexpr double return_share = 1.0 / 3;
 
 private:
     /// An attempt in progress.
@@ -130,12 +151,22 @@
         std::optional<target_answer> answer; ///< Status and headers for the caller.
         std::string buffered_body;           ///< Body not yet sent to the caller.
         bool has_begun = false;              ///< Status and headers were sent to the caller.
+        yield_group group;
+        bool is_counted = false;               ///< In the shares of the pool's groups.
+        bool has_returned = false;             ///< Its caller was probably refused before.
+        std::optional<time_point> waits_since; ///< It waits for room at a target.
         event_splitter events;
         std::optional<std::uint64_t> last_event; ///< Last event sent to the caller.
         std::optional<duration> first_byte_after;
         std::uint64_t bytes_sent = 0;
     };
 
+    /// What callers of a route usually ask for.
+    struct route_profile {
+        duration timeout{};                      ///< That callers state at their first try.
+        std::optional<quantile_estimate> tokens; ///< Exceeded by the largest tenth.
+    };
+
     /// A request that arrived before configuration and targets were loaded.
     struct early_request {
         exchange_number exchange;
@@ -175,6 +206,7 @@
                         std::optional<duration> retry_after = std::nullopt);
 
     // Attempts, in traffic_attempts.cpp.
+    choice_query query_for(const exchange& it);
     void start_next_attempt(exchange_number number, exchange& it);
     void send_attempt(exchange_number number, exchange& it, const chosen_target& chosen);
     void end_attempt(exchange& it, attempt_outcome outcome);
@@ -190,6 +222,20 @@
     duration late_retry_after(const exchange& it) const;
     duration decline_retry_after(const exchange& it) const;
 
+    // Requests that wait for room, in traffic_waiting.cpp.
+    bool waits_for_room(const pool_id& pool) const;
+    void record_arrival(exchange& it);
+    void record_profile(exchange& it);
+    bool wait_for_room(exchange_number number, exchange& it, std::string_view reason);
+    bool can_room_come_in_time(const exchange& it, time_point latest) const;
+    time_point latest_start(const exchange& it);
+    void serve_waiting();
+    void serve_waiting(waiting_queue& queue);
+    void refuse_waiting(waiting_queue& queue);
+    void end_wait(exchange_number number, exchange& it, std::string_view outcome);
+    double reserved_share(const exchange& it);
+    duration spread_retry_after(duration shortest, const exchange& it) const;
+
     // Crashes of targets, in traffic_crashes.cpp.
     void record_possible_crash(const exchange& it);
     void record_begun_answer(const exchange& it);
@@ -234,6 +280,9 @@
     std::set<std::pair<time_point, exchange_number>> timers_;
     std::map<pool_id, retry_budget> budgets_;
     std::map<pool_id, work_estimate> work_;
+    std::map<pool_id, waiting_queue> waiting_;
+    time_point check_waiting_at_{};
+    std::unordered_map<std::string, route_profile> profiles_; ///< By route, of the configuration.
     crash_evidence crashes_;
     counters metrics_;
     std::optional<stop_announced> stop_;
--- a/src/traffic/target_choice.cpp
+++ b/src/traffic/target_choice.cpp
@@ -187,6 +187,17 @@
     return obstacle && *obstacle != target_obstacle::full;
 }
 
+/// Returns how many requests a plain target may hold.
+double service_bound(const choice_query& query, std::uint32_t slots)
+{
+    const auto usual = slots * (1 + service_queue_share);
+    if (!query.may_wait) {
+        return usual;
+    }
+    const auto timely = timely_requests(slots, query.objective, query.work.service_time_ms());
+    return std::max(std::max(usual, timely) * (1 - query.reserved_share), 1.0);
+}
+
 /// Returns whether the target can accept one more request within its load bound.
 bool is_below_bound(const choice_query& query, const candidate& it, double mean, time_point now)
 {
@@ -197,9 +208,23 @@
     if (it.in_flight + 1 > std::max(bound, 1.0)) {
         return false;
     }
-    const double slots = it.target->registration().slots;
-    return query.prompt != nullptr || slots == 0 ||
-           it.in_flight < slots * (1 + service_queue_share);
+    const auto slots = it.target->registration().slots;
+    return query.prompt != nullptr || slots == 0 || it.in_flight < service_bound(query, slots);
+}
+
+/// Returns whether the request waits in the router rather than at the target, which holds more than
+/// it can answer in time. A load report counts for as long as the target needs to answer what it
+/// holds too much: if all routers held back for longer, no answer would tell that there is room.
+bool is_held_back(const choice_query& query, const candidate& it, time_point now)
+{
+    const auto slots = it.target->registration().slots;
+    const auto age = it.target->report_age(now);
+    if (!query.may_wait || query.prompt != nullptr || slots == 0 || it.has_failed || !age) {
+        return false;
+    }
+    const auto surplus = it.in_flight + 1 - service_bound(query, slots);
+    return std::chrono::duration<double, std::milli>{*age}.count() <
+           surplus * query.work.service_time_ms() / slots;
 }
 
 /// Expected time of the first event, relative to the objective.
@@ -340,6 +365,8 @@
         return "all_decline";
     case no_target_reason::all_late:
         return "all_late";
+    case no_target_reason::all_busy:
+        return "all_busy";
     }
     return "unknown";
 }
@@ -350,6 +377,12 @@
     return std::chrono::duration_cast<duration>(objective * share);
 }
 
+double timely_requests(std::uint32_t slots, duration objective, double service_time_ms)
+{
+    const auto objective_ms = std::chrono::duration<double, std::milli>{objective}.count();
+    return slots * on_time_share * objective_ms / service_time_ms;
+}
+
 target_choice choose_target(const choice_query& query, const target_table& table, time_point now)
 {
     const auto& targets = table.ready(query.pool);
@@ -363,6 +396,7 @@
     const candidate* best = nullptr;
     const candidate* fallback = nullptr; ///< Above its bound or ejected, but without obstacle.
     bool is_any_declining = false;
+    bool is_any_held_back = false;
     for (auto& it : all) {
         if (was_tried(query, it)) {
             continue;
@@ -373,6 +407,9 @@
         if (is_below_bound(query, it, mean, now)) {
             best = best == nullptr || is_better(query, it, *best) ? &it : best;
         }
+        else if (!it.target->obstacle(now) && is_held_back(query, it, now)) {
+            is_any_held_back = true;
+        }
         else if (!it.target->obstacle(now)) {
             fallback = fallback == nullptr || it.in_flight < fallback->in_flight ? &it : fallback;
         }
@@ -380,6 +417,10 @@
     if (best == nullptr && query.tried != nullptr && query.tried->size() >= all.size()) {
         return no_target_reason::all_tried;
     }
+    const bool is_fallback_sound = fallback != nullptr && !fallback->has_failed;
+    if (best == nullptr && is_any_held_back && !is_fallback_sound) {
+        return no_target_reason::all_busy;
+    }
     if (best == nullptr) {
         best = fallback;
     }
--- a/src/traffic/traffic_answers.cpp
+++ b/src/traffic/traffic_answers.cpp
@@ -191,6 +191,9 @@
             .add("first_ms", it.first_byte_after ? to_ms(*it.first_byte_after) : -1)
             .add("ms", to_ms(now_ - it.arrived_at))
             .add("bytes", it.bytes_sent));
+    if (it.waits_since) {
+        end_wait(number, it, outcome);
+    }
     metrics_.add("requests_finished", 1, "outcome=\"" + std::string{outcome} + "\"");
     metrics_.observe("request_duration", now_ - it.arrived_at);
     if (it.first_byte_after) {
--- a/src/traffic/traffic_attempts.cpp
+++ b/src/traffic/traffic_attempts.cpp
@@ -23,6 +23,35 @@
     if (refuse_quarantined(number, it)) {
         return;
     }
+    record_arrival(it);
+    const auto waiting = waiting_.find(it.pool);
+    const bool do_others_wait = waiting != waiting_.end() && !waiting->second.empty();
+    if (do_others_wait && wait_for_room(number, it, "others wait")) {
+        serve_waiting(waiting->second);
+        return;
+    }
+    const auto result = choose_target(query_for(it), targets_, now_);
+    const auto* reason = std::get_if<no_target_reason>(&result);
+    if (reason == nullptr) {
+        send_attempt(number, it, std::get<chosen_target>(result));
+        return;
+    }
+    if (*reason != no_target_reason::none_registered && *reason != no_target_reason::all_late &&
+        wait_for_room(number, it, to_string(*reason))) {
+        return;
+    }
+    log(log_event{"no_target"}
+            .add("request", it.request->id)
+            .add("pool", it.pool)
+            .add("reason", to_string(*reason))
+            .add("targets", targets_.ready(it.pool).size())
+            .add("revision", targets_revision_));
+    fail_request(number, it, it.may_have_run > 0 ? 502 : 503, to_string(*reason),
+                 retry_after_for(*reason, it));
+}
+
+choice_query traffic_router::query_for(const exchange& it)
+{
     choice_query query;
     query.pool = it.pool;
     query.prompt = it.request->prompt ? &*it.request->prompt : nullptr;
@@ -34,19 +63,9 @@
     query.load_bound = settings_.load_bound;
     query.tried = &it.tried;
     query.work = work_[it.pool];
-    const auto result = choose_target(query, targets_, now_);
-    if (const auto* reason = std::get_if<no_target_reason>(&result)) {
-        log(log_event{"no_target"}
-                .add("request", it.request->id)
-                .add("pool", it.pool)
-                .add("reason", to_string(*reason))
-                .add("targets", targets_.ready(it.pool).size())
-                .add("revision", targets_revision_));
-        fail_request(number, it, it.may_have_run > 0 ? 502 : 503, to_string(*reason),
-                     retry_after_for(*reason, it));
-        return;
-    }
-    send_attempt(number, it, std::get<chosen_target>(result));
+    query.may_wait = it.may_have_run == 0 && waits_for_room(it.pool);
+    query.reserved_share = query.may_wait ? reserved_share(it) : 0;
+    return query;
 }
 
 /// Returns the mean rate at which this router sends first attempts to a target of the pool.
@@ -58,17 +77,14 @@
 
 duration traffic_router::retry_after_for(no_target_reason reason, const exchange& it) const
 {
-    switch (reason) {
-    case no_target_reason::all_late:
-        return late_retry_after(it);
-    case no_target_reason::all_decline:
-        return decline_retry_after(it);
-    case no_target_reason::none_registered:
-    case no_target_reason::all_tried:
-    case no_target_reason::all_full:
-        break;
-    }
-    return full_retry_after;
+    auto shortest = full_retry_after;
+    if (reason == no_target_reason::all_late) {
+        shortest = late_retry_after(it);
+    }
+    else if (reason == no_target_reason::all_decline) {
+        shortest = decline_retry_after(it);
+    }
+    return spread_retry_after(shortest, it);
 }
 
 /// Returns the time until this router may send to one of the targets. It differs between routers.
@@ -102,6 +118,9 @@
     running.sent = {now_, it.priority, chosen.prefill_tokens};
     it.running = running;
     it.tried.insert(registration.id);
+    if (it.is_counted && it.sends == 0) {
+        waiting_[it.pool].shares().record_service(it.group, now_);
+    }
     ++it.sends;
     ++it.may_have_run;
     const auto age = target.report_age(now_);
@@ -163,6 +182,7 @@
         if (outcome == attempt_outcome::failed || outcome == attempt_outcome::unreachable) {
             effects_.emplace_back(share_failure{target->key()});
         }
+        check_waiting_at_ = now_; // The target may have room now.
         if (target->is_ejected(now_) && !was_ejected) {
             metrics_.add("ejections");
             log(log_event{"target_ejected"}.add("target", it.running->target));
--- a/src/traffic/traffic_router.cpp
+++ b/src/traffic/traffic_router.cpp
@@ -56,6 +56,7 @@
 {
     now_ = now;
     std::visit([this](auto& e) { on(e); }, event);
+    serve_waiting();
     return std::exchange(effects_, {});
 }
 
@@ -69,6 +70,12 @@
         next = std::min(next.value_or(early_requests_.front().refuse_at),
                         early_requests_.front().refuse_at);
     }
+    for (const auto& [pool, queue] : waiting_) {
+        if (const auto expiry = queue.next_expiry()) {
+            const auto check_at = std::min(*expiry, check_waiting_at_);
+            next = std::min(next.value_or(check_at), check_at);
+        }
+    }
     return next;
 }
 
@@ -80,6 +87,10 @@
                      labels);
         metrics_.set("service_time_us", std::llround(work.service_time_ms() * 1'000), labels);
     }
+    for (const auto& [pool, queue] : waiting_) {
+        metrics_.set("requests_waiting", static_cast<std::int64_t>(queue.size()),
+                     "pool=\"" + pool.str() + '"');
+    }
 }
 
 void traffic_router::on(request_arrived& e)
@@ -219,6 +230,7 @@
 void traffic_router::on(configuration_changed& e)
 {
     configuration_ = std::move(e.configuration);
+    profiles_.clear();
     log(log_event{"configuration_in_force"}
             .add("version", configuration_->version().value())
             .add("routes", configuration_->route_count()));
--- a/tests/platform_adapter/settings_test.cpp
+++ b/tests/platform_adapter/settings_test.cpp
@@ -55,6 +55,19 @@
     EXPECT_LE(settings.bounds.entry_lifetime, std::chrono::seconds{5});
 }
 
+TEST(platform_settings, requests_wait_for_room_only_if_the_contracts_ask_for_it)
+{
+    const auto waits = [](const std::string& contracts) {
+        const auto read = platform::protocol::read_settings(contracts + complete_settings);
+        EXPECT_TRUE(has_value(read));
+        return value_of(read).bounds.waits_for_room;
+    };
+    EXPECT_TRUE(waits("Contracts = [\"base\",\"pressure\"]"));
+    EXPECT_FALSE(waits("Contracts = [\"base\",\"engine\"]"));
+    EXPECT_FALSE(waits("Contracts = \"pressure\""));
+    EXPECT_FALSE(waits(""));
+}
+
 TEST(platform_settings, reports_all_errors_with_their_paths)
 {
     const auto read = platform::protocol::read_settings(R"(
--- a/tests/traffic/target_choice_test.cpp
+++ b/tests/traffic/target_choice_test.cpp
@@ -329,6 +329,48 @@
     EXPECT_GE(counts.size(), 4U);
 }
 
+// Load: targets of a plain service are reported to hold `n` requests each.
+TEST_F(choice_fixture, a_request_that_can_wait_is_not_sent_to_targets_that_are_too_busy)
+{
+    const auto is_busy = [&](std::uint32_t n) {
+        for (int i = 1; i <= target_count; ++i) {
+            target(i).update_load(n, clock.now());
+        }
+        const auto result = choose_target(query, table, clock.now());
+        const auto* reason = std::get_if<no_target_reason>(&result);
+        EXPECT_TRUE(reason == nullptr || *reason == no_target_reason::all_busy);
+        clock.advance(std::chrono::milliseconds{1});
+        return reason != nullptr;
+    };
+    // Six slots of 15 ms each answer 100 requests in half of the objective of 500 ms.
+    EXPECT_FALSE(is_busy(150));
+    query.may_wait = true;
+    EXPECT_FALSE(is_busy(99));
+    EXPECT_TRUE(is_busy(101));
+    query.reserved_share = 0.2;
+    EXPECT_TRUE(is_busy(99));
+    EXPECT_FALSE(is_busy(79));
+    query.objective = {}; // What fits into the slots and as many again is always sent.
+    query.reserved_share = 0;
+    EXPECT_FALSE(is_busy(11));
+    EXPECT_TRUE(is_busy(12));
+    // Nine too many are answered within 22.5 ms. An older report does not hold requests back.
+    EXPECT_TRUE(is_busy(20));
+    clock.advance(std::chrono::milliseconds{25});
+    EXPECT_TRUE(std::holds_alternative<chosen_target>(choose_target(query, table, clock.now())));
+}
+
+TEST_F(choice_fixture, requests_wait_for_busy_targets_rather_than_go_to_ejected_ones)
+{
+    for (int i = 2; i <= target_count; ++i) {
+        target(i).update_load(200, clock.now());
+    }
+    target(1).record_outcome(attempt_outcome::unreachable, clock.now());
+    query.may_wait = true;
+    EXPECT_EQ(std::get<no_target_reason>(choose_target(query, table, clock.now())),
+              no_target_reason::all_busy);
+}
+
 TEST_F(choice_fixture, a_repeatedly_failing_target_is_ejected_for_a_time)
 {
     for (std::uint32_t i = 0; i < target_state::ejection_threshold; ++i) {
