--- a/include/endivelatch/traffic/target_choice.hpp
+++ b/include/endivelatch/traffic/target_choice.hpp
@@ -70,6 +70,11 @@
 inline constexpr double cross_domain_ms = 4;
 /// Requests that may queue at a plain target, as a share of its slots.
 inline constexpr double service_queue_share = 1.0;
+/// Largest random error of a load report, relative to the requests that the target may hold.
+inline constexpr double max_report_error = 1.5;
+/// Age from which a load report does not hold requests back. If all routers held back for long, no
+/// answer would tell that there is room.
+inline constexpr duration max_held_report_age{500'000};
 /// Requests that each target may hold above the load bound, so that small pools remain usable.
 inline constexpr double load_allowance = 2;
 /// Share of the load bound that is used while the target's load report is at most
--- a/src/traffic/target_choice.cpp
+++ b/src/traffic/target_choice.cpp
@@ -82,6 +82,34 @@
     }
 }
 
+/// Returns how many requests a plain target may hold.
+double service_bound(const choice_query& query, std::uint32_t slots)
+{
+    const auto usual = slots * (1 + service_queue_share);
+    if (!query.may_wait) {
+        return usual;
+    }
+    const auto timely = timely_requests(slots, query.objective, query.work.service_time_ms());
+    return std::max(std::max(usual, timely) * (1 - query.reserved_share), 1.0);
+}
+
+/// Returns a random error of the load report of a plain target, in requests. Its range grows with
+/// the age of the report by what the slots serve in that time. It differs between requests, so that
+/// of many routers with the same old reports only a part sends to a target or holds back. Otherwise
+/// the target would be overloaded and idle by turns.
+double report_error(const choice_query& query, const target_state& target, time_point now)
+{
+    const auto slots = target.registration().slots;
+    const auto age = target.report_age(now);
+    if (!query.may_wait || query.prompt != nullptr || slots == 0 || !age) {
+        return 0;
+    }
+    const auto served = slots * std::chrono::duration<double, std::milli>{*age}.count() /
+                        query.work.service_time_ms();
+    const auto range = std::min(served, max_report_error * service_bound(query, slots));
+    return range * (2 * random_source{query.request_hash ^ target.hash()}.fraction() - 1);
+}
+
 std::vector<candidate> estimate_load(const choice_query& query,
                                      const std::vector<target_state*>& targets, time_point now)
 {
@@ -92,7 +120,9 @@
     for (auto* it : targets) {
         candidate c;
         c.target = it;
-        c.in_flight = it->own_in_flight() + it->others_in_flight(expected, now);
+        c.in_flight = std::max(it->own_in_flight() + it->others_in_flight(expected, now) +
+                                   report_error(query, *it, now),
+                               0.0);
         c.rank = rendezvous_weight(placement, it->hash());
         c.has_failed = it->is_ejected(now);
         all.push_back(c);
@@ -187,17 +217,6 @@
     return obstacle && *obstacle != target_obstacle::full;
 }
 
-/// Returns how many requests a plain target may hold.
-double service_bound(const choice_query& query, std::uint32_t slots)
-{
-    const auto usual = slots * (1 + service_queue_share);
-    if (!query.may_wait) {
-        return usual;
-    }
-    const auto timely = timely_requests(slots, query.objective, query.work.service_time_ms());
-    return std::max(std::max(usual, timely) * (1 - query.reserved_share), 1.0);
-}
-
 /// Returns whether the target can accept one more request within its load bound.
 bool is_below_bound(const choice_query& query, const candidate& it, double mean, time_point now)
 {
@@ -222,9 +241,7 @@
     if (!query.may_wait || query.prompt != nullptr || slots == 0 || it.has_failed || !age) {
         return false;
     }
-    const auto surplus = it.in_flight + 1 - service_bound(query, slots);
-    return std::chrono::duration<double, std::milli>{*age}.count() <
-           surplus * query.work.service_time_ms() / slots;
+    return *age < max_held_report_age && it.in_flight >= service_bound(query, slots);
 }
 
 /// Expected time of the first event, relative to the objective.
