--- a/include/endivelatch/entry/entry_process_life.hpp
+++ b/include/endivelatch/entry/entry_process_life.hpp
@@ -181,7 +181,8 @@
             bounds.cold_overage,
             bounds.cold_slack,
             bounds.evacuation_time.has_value(),
-            shares_.buffered_answers};
+            shares_.buffered_answers,
+            bounds.waits_for_room};
 }
 
 template <entry_protocol Protocol>
--- a/include/endivelatch/entry/entry_settings.hpp
+++ b/include/endivelatch/entry/entry_settings.hpp
@@ -20,6 +20,7 @@
     /// from the whole fleet.
     double cold_overage = 1;
     double cold_slack = 0;
+    bool waits_for_room = false;        ///< Requests wait while no target has room for them.
     duration stop_grace{8'000'000};     ///< From the stop signal until the process is killed.
     duration entry_lifetime{1'000'000}; ///< How long callers may cache a list of entry addresses.
     /// Time within which all routers have to apply an evacuation. Nothing if the operator does not
--- a/include/endivelatch/traffic/target_choice.hpp
+++ b/include/endivelatch/traffic/target_choice.hpp
@@ -23,8 +23,13 @@
     std::uint32_t routers = 1;      ///< Live routers, including this one.
     double load_bound = 2;          ///< Maximum load of a target, relative to the mean.
     const std::set<target_id>* tried = nullptr; ///< Targets that were already tried.
-    work_estimate work;                         ///< Of the pool's targets.
-    machine_speed speed;                        ///< Of the pool's targets.
+    /// The request can wait in the router. Then a plain target gets no more than it can answer
+    /// within the objective.
+    bool may_wait = false;
+    /// Share of what a plain target may hold that is left to more urgent requests.
+    double reserved_share = 0;
+    work_estimate work;  ///< Of the pool's targets.
+    machine_speed speed; ///< Of the pool's targets.
 };
 
 /// The selected target and the estimates behind the selection.
@@ -49,6 +54,7 @@
     all_full,        ///< Every untried target refused a request recently.
     all_decline,     ///< As before, or it stated that it wants no request of this router now.
     all_late,        ///< The expected wait is too long at the best target.
+    all_busy,        ///< Every untried target holds what it can answer in time.
 };
 
 /// Returns the name used in logs, such as `all_full`.
@@ -70,6 +76,11 @@
 inline constexpr std::size_t spread_choices = 2;
 /// Requests that may queue at a plain target, as a share of its slots.
 inline constexpr double service_queue_share = 1.0;
+/// Largest random error of a load report, relative to the requests that the target may hold.
+inline constexpr double max_report_error = 1.5;
+/// Age from which a load report does not hold requests back. If all routers held back for long, no
+/// answer would tell that there is room.
+inline constexpr duration max_held_report_age{500'000};
 /// Requests that each target may hold above the load bound, so that small pools remain usable.
 inline constexpr double load_allowance = 2;
 /// Share of the load bound that is used while the target's load report is at most
@@ -106,6 +117,10 @@
 /// Returns the expected wait above which a request is refused.
 duration max_expected_wait(duration objective, std::uint32_t priority);
 
+/// Returns how many requests a plain target may hold so that one more is answered within the
+/// objective.
+double timely_requests(std::uint32_t slots, duration objective, double service_time_ms);
+
 /// Selects a target below its load bound: among targets that are on time the one with the fewest
 /// tokens to prefill, otherwise the one with the lowest cost.
 target_choice choose_target(const choice_query& query, const target_table& table, time_point now);
--- a/src/traffic/traffic_router.cpp
+++ b/src/traffic/traffic_router.cpp
@@ -66,6 +66,7 @@
 {
     now_ = now;
     std::visit([this](auto& e) { on(e); }, event);
+    serve_waiting();
     return std::exchange(effects_, {});
 }
 
@@ -82,6 +83,12 @@
     if (evacuations_due_at_ && awaits_evacuations()) {
         next = std::min(next.value_or(*evacuations_due_at_), *evacuations_due_at_);
     }
+    for (const auto& [pool, queue] : waiting_) {
+        if (const auto expiry = queue.next_expiry()) {
+            const auto check_at = std::min(*expiry, check_waiting_at_);
+            next = std::min(next.value_or(check_at), check_at);
+        }
+    }
     return next;
 }
 
@@ -99,6 +106,10 @@
         metrics_.set("mean_slowdown_percent", std::llround(speed.mean() * 100), labels);
         metrics_.set("slowdown_persistence_ms", speed.persistence().count() / 1'000, labels);
     }
+    for (const auto& [pool, queue] : waiting_) {
+        metrics_.set("requests_waiting", static_cast<std::int64_t>(queue.size()),
+                     "pool=\"" + pool.str() + '"');
+    }
 }
 
 void traffic_router::on(request_arrived& e)
@@ -238,6 +249,7 @@
 void traffic_router::on(configuration_changed& e)
 {
     configuration_ = std::move(e.configuration);
+    profiles_.clear();
     log(log_event{"configuration_in_force"}
             .add("version", configuration_->version().value())
             .add("routes", configuration_->route_count()));
