Estimate of each organisation's share of a pool, mixed between routers

Cause: nothing keeps one organisation's surge from costing the others; a router of 125 sees too little to tell. Nothing records work yet, so nothing is sent: the queue of waiting requests is to call it.

--- a/include/endivelatch/entry/entry_process_life.hpp
+++ b/include/endivelatch/entry/entry_process_life.hpp
@@ -117,6 +117,8 @@
               },
               [this](const crash_news& news) { deliver(crash_news_received{news}); },
               [this] { return router_.crashes().next_news(loop_->now()); },
+              [this](usage_report&& usage) { deliver(usage_received{std::move(usage)}); },
+              [this] { return router_.next_usage_report(loop_->now()); },
               [this](duration delay) { on_pause(delay); },
               [this](log_event&& e) { write(std::move(e)); }}},
       router_timer_{loop, [this] { on_router_timer(); }}, housekeeping_{loop,
--- a/include/endivelatch/entry/fleet_view.hpp
+++ b/include/endivelatch/entry/fleet_view.hpp
@@ -55,6 +55,10 @@
     std::function<void(const crash_news&)> on_crash_news;
     /// Returns what to report of crashes with the next packet.
     std::function<crash_news()> crash_news_to_send;
+    /// Another router reported the use of a pool by organisations.
+    std::function<void(usage_report&&)> on_usage;
+    /// Returns what to report of this use with the next packet.
+    std::function<usage_report()> usage_to_send;
     std::function<void(duration)> on_pause; ///< The process was not scheduled for this time.
     std::function<void(log_event&&)> on_log;
 };
--- a/include/endivelatch/membership/gossip.hpp
+++ b/include/endivelatch/membership/gossip.hpp
@@ -7,6 +7,7 @@
 #include "endivelatch/membership/load_table.hpp"
 #include "endivelatch/membership/member.hpp"
 #include "endivelatch/membership/summary.hpp"
+#include "endivelatch/membership/usage_report.hpp"
 
 #include <cstdint>
 #include <string>
@@ -66,6 +67,7 @@
     std::vector<failure_report> failures;
     crash_news crashes;
     std::vector<limit_report> limits;
+    usage_report usage;
 
     friend bool operator==(const gossip_packet&, const gossip_packet&) = default;
 };
--- a/include/endivelatch/membership/packet_size.hpp
+++ b/include/endivelatch/membership/packet_size.hpp
@@ -34,4 +34,7 @@
 /// Maximum size of a limit report in bytes: target, limit and age with their field headers.
 inline constexpr std::size_t limit_report_size = 20;
 
+/// Maximum size of a usage report in bytes: header, pool and organisations.
+inline constexpr std::size_t usage_report_size = 12 + 12 * max_reported_uses;
+
 } // namespace endivelatch
--- a/include/endivelatch/traffic/traffic_event.hpp
+++ b/include/endivelatch/traffic/traffic_event.hpp
@@ -2,6 +2,7 @@
 
 #include "endivelatch/base/log_event.hpp"
 #include "endivelatch/membership/crash_report.hpp"
+#include "endivelatch/membership/usage_report.hpp"
 #include "endivelatch/traffic/configuration.hpp"
 #include "endivelatch/traffic/request.hpp"
 #include "endivelatch/traffic/target_state.hpp"
@@ -139,6 +140,11 @@
     crash_news news;
 };
 
+/// Another router reported the use of a pool by organisations.
+struct usage_received {
+    usage_report usage;
+};
+
 /// The process was asked to stop.
 struct stop_announced {
     time_point exits_at{}; ///< Latest exit time of the process.
@@ -155,7 +161,7 @@
     std::variant<request_arrived, caller_disconnected, attempt_broken, answer_begun, answer_bytes,
                  answer_finished, configuration_changed, targets_changed, evacuations_changed,
                  fleet_changed, routers_found, loads_received, failures_received, limits_received,
-                 crash_news_received, stop_announced, exit_announced, timer_due>;
+                 crash_news_received, usage_received, stop_announced, exit_announced, timer_due>;
 
 /// Returns the name of the event, such as `answer_begun`. The string is never destroyed.
 const char* name_of(const traffic_event& event);
--- a/include/endivelatch/traffic/traffic_router.hpp
+++ b/include/endivelatch/traffic/traffic_router.hpp
@@ -5,6 +5,7 @@
 #include "endivelatch/traffic/crash_evidence.hpp"
 #include "endivelatch/traffic/event_counter.hpp"
 #include "endivelatch/traffic/event_splitter.hpp"
+#include "endivelatch/traffic/organisation_usage.hpp"
 #include "endivelatch/traffic/target_choice.hpp"
 #include "endivelatch/traffic/traffic_event.hpp"
 
@@ -57,6 +58,10 @@
     /// Returns the evidence of prompt parts that crash targets.
     crash_evidence& crashes() { return crashes_; }
 
+    /// Returns what to tell another router of the use of pools by organisations, of one pool after
+    /// the other.
+    usage_report next_usage_report(time_point now);
+
     /// Returns the metrics of this router.
     counters& metrics() { return metrics_; }
 
@@ -173,6 +178,7 @@
     void on(const failures_received& e);
     void on(const limits_received& e);
     void on(const crash_news_received& e);
+    void on(const usage_received& e);
     void on(stop_announced& e);
     void on(const exit_announced& e);
     void on(timer_due& e);
@@ -264,6 +270,8 @@
     std::set<std::pair<time_point, exchange_number>> timers_;
     std::map<pool_id, retry_budget> budgets_;
     std::map<pool_id, work_estimate> work_;
+    std::map<pool_id, organisation_usage> usages_;
+    pool_id last_reported_usage_;
     crash_evidence crashes_;
     counters metrics_;
     std::optional<stop_announced> stop_;
--- a/src/entry/fleet_view.cpp
+++ b/src/entry/fleet_view.cpp
@@ -238,6 +238,9 @@
     if (value_of(packet).crashes != crash_news{}) {
         callbacks_.on_crash_news(value_of(packet).crashes);
     }
+    if (!value_of(packet).usage.uses.empty()) {
+        callbacks_.on_usage(std::move(std::get<gossip_packet>(packet).usage));
+    }
     if (value_of(packet).kind == gossip_kind::loads) {
         return;
     }
@@ -298,6 +301,10 @@
     size = packet.limits.empty() ? size : encode(packet).size();
     packet.failures = failures_.newest(failure_report_capacity(size), loop_->now());
     size = packet.failures.empty() ? size : encode(packet).size();
+    if (size + usage_report_size <= max_gossip_size) {
+        packet.usage = callbacks_.usage_to_send();
+        size = packet.usage.uses.empty() ? size : encode(packet).size();
+    }
     packet.loads = loads_.newest(load_report_capacity(size), loop_->now());
 }
 
@@ -315,7 +322,7 @@
     packet.number = ++last_load_packet_;
     add_target_reports(packet);
     if (packet.loads.empty() && packet.failures.empty() && packet.limits.empty() &&
-        packet.crashes == crash_news{}) {
+        packet.usage.uses.empty() && packet.crashes == crash_news{}) {
         return;
     }
     const auto bytes = encode(packet);
--- a/src/traffic/traffic_router.cpp
+++ b/src/traffic/traffic_router.cpp
@@ -43,12 +43,25 @@
 {
     // In the order of the variant.
     constexpr std::array<const char*, std::variant_size_v<traffic_event>> names{
-        "request_arrived",       "caller_disconnected", "attempt_broken",
-        "answer_begun",          "answer_bytes",        "answer_finished",
-        "configuration_changed", "targets_changed",     "evacuations_changed",
-        "fleet_changed",         "routers_found",       "loads_received",
-        "failures_received",     "limits_received",     "crash_news_received",
-        "stop_announced",        "exit_announced",      "timer_due"};
+        "request_arrived",
+        "caller_disconnected",
+        "attempt_broken",
+        "answer_begun",
+        "answer_bytes",
+        "answer_finished",
+        "configuration_changed",
+        "targets_changed",
+        "evacuations_changed",
+        "fleet_changed",
+        "routers_found",
+        "loads_received",
+        "failures_received",
+        "limits_received",
+        "crash_news_received",
+        "usage_received",
+        "stop_announced",
+        "exit_announced",
+        "timer_due"};
     return names.at(event.index());
 }
 
--- a/src/wire/endivelatch.thrift
+++ b/src/wire/endivelatch.thrift
@@ -224,6 +224,10 @@
   3: i32 age_ms
 }
 
+/**
+ * The field `usage` holds numbers of 32 bits, little-endian: a hash of the pool's id, then for each organisation a hash
+ * of its id, the work that it asks for and the work that is served, in us of a target's time per second.
+ */
 struct gossip_packet {
   1: i32 kind
   2: string sender
@@ -244,6 +248,7 @@
   17: optional list<crash_item> crashes
   18: optional list<clearance_item> clearances
   19: optional list<limit_item> limits
+  20: optional binary usage
 }
 
 struct link_hello {
--- a/src/wire/gossip_codec.cpp
+++ b/src/wire/gossip_codec.cpp
@@ -250,6 +250,71 @@
     return out;
 }
 
+constexpr std::size_t usage_number_size = 4;
+constexpr double us_per_ms = 1'000;
+
+void append_number(std::string& out, std::uint32_t n)
+{
+    for (std::size_t i = 0; i < usage_number_size; ++i) {
+        out += static_cast<char>((n >> (8 * i)) & 0xFF);
+    }
+}
+
+/// Removes a number from the front of the bytes.
+std::uint32_t take_number(std::string_view& bytes)
+{
+    std::uint32_t n = 0;
+    for (std::size_t i = 0; i < usage_number_size; ++i) {
+        n |= std::uint32_t{static_cast<unsigned char>(bytes[i])} << (8 * i);
+    }
+    bytes.remove_prefix(usage_number_size);
+    return n;
+}
+
+std::uint32_t to_us(float ms)
+{
+    constexpr double largest = std::numeric_limits<std::uint32_t>::max();
+    return static_cast<std::uint32_t>(std::clamp(ms * us_per_ms, 0.0, largest));
+}
+
+std::string write_usage(const usage_report& it)
+{
+    std::string out;
+    if (it.uses.empty()) {
+        return out;
+    }
+    append_number(out, it.pool.value());
+    for (const auto& use : it.uses) {
+        append_number(out, use.organisation.value());
+        append_number(out, to_us(use.asked));
+        append_number(out, to_us(use.served));
+    }
+    return out;
+}
+
+/// Throws if the bytes have another size than that of whole uses.
+usage_report read_usage(std::string_view bytes)
+{
+    usage_report out;
+    if (bytes.empty()) {
+        return out;
+    }
+    constexpr auto use_size = 3 * usage_number_size;
+    if (bytes.size() % use_size != usage_number_size ||
+        bytes.size() / use_size > max_reported_uses) {
+        throw invalid_encoding{"usage report of " + std::to_string(bytes.size()) + " bytes"};
+    }
+    out.pool = pool_key{take_number(bytes)};
+    while (!bytes.empty()) {
+        organisation_use use;
+        use.organisation = organisation_key{take_number(bytes)};
+        use.asked = static_cast<float>(take_number(bytes) / us_per_ms);
+        use.served = static_cast<float>(take_number(bytes) / us_per_ms);
+        out.uses.push_back(use);
+    }
+    return out;
+}
+
 thrift_wire::gossip_packet to_struct(const gossip_packet& it)
 {
     thrift_wire::gossip_packet out;
@@ -301,6 +366,8 @@
         out.limits.push_back(to_struct(limit));
     }
     out.__isset.limits = !out.limits.empty();
+    out.usage = write_usage(it.usage);
+    out.__isset.usage = !out.usage.empty();
     return out;
 }
 
@@ -341,6 +408,7 @@
     for (const auto& limit : it.limits) {
         out.limits.push_back(from_struct(limit));
     }
+    out.usage = read_usage(it.usage);
     return out;
 }
 
--- a/tests/wire/message_samples.hpp
+++ b/tests/wire/message_samples.hpp
@@ -123,6 +123,9 @@
                             sample_filter()}};
     out.limits = {{target_key{0xFFFF'FFFF}, request_rate{2.5}, std::chrono::seconds{60}},
                   {target_key{1}, std::nullopt, std::chrono::milliseconds{5}}};
+    out.usage = {pool_key{0xFFFF'FFFF},
+                 std::vector(max_reported_uses,
+                             organisation_use{organisation_key{0xFFFF'FFFF}, 4'000'000.0F, 0.5F})};
     out.crashes.clearances = {{part_key{~0ULL}, std::chrono::milliseconds{60}}};
     out.failures = {{target_key{7}, router_key{0xFFFF'FFFF}, std::chrono::milliseconds{250}},
                     {target_key{0xFFFF'FFFF}, router_key{1}, duration{}}};
