--- a/include/endivelatch/traffic/traffic_router.hpp
+++ b/include/endivelatch/traffic/traffic_router.hpp
@@ -5,6 +5,7 @@
 #include "endivelatch/traffic/crash_evidence.hpp"
 #include "endivelatch/traffic/event_counter.hpp"
 #include "endivelatch/traffic/event_splitter.hpp"
+#include "endivelatch/traffic/organisation_usage.hpp"
 #include "endivelatch/traffic/target_choice.hpp"
 #include "endivelatch/traffic/traffic_event.hpp"
 #include "endivelatch/traffic/waiting_queue.hpp"
@@ -65,6 +66,10 @@
     /// Returns the evidence of prompt parts that crash targets.
     crash_evidence& crashes() { return crashes_; }
 
+    /// Returns what to tell another router of the use of pools by organisations, of one pool after
+    /// the other.
+    usage_report next_usage_report(time_point now);
+
     /// Returns the metrics of this router.
     counters& metrics() { return metrics_; }
 
@@ -207,6 +212,7 @@
     void on(const failures_received& e);
     void on(const limits_received& e);
     void on(const crash_news_received& e);
+    void on(const usage_received& e);
     void on(stop_announced& e);
     void on(const exit_announced& e);
     void on(timer_due& e);
@@ -320,6 +326,8 @@
     std::map<pool_id, waiting_queue> waiting_;
     time_point check_waiting_at_{};
     std::unordered_map<std::string, route_profile> profiles_; ///< By route, of the configuration.
+    std::map<pool_id, organisation_usage> usages_;
+    pool_id last_reported_usage_;
     crash_evidence crashes_;
     counters metrics_;
     std::optional<stop_announced> stop_;
