--- a/include/endivelatch/entry/entry_process_life.hpp
+++ b/include/endivelatch/entry/entry_process_life.hpp
@@ -117,6 +117,8 @@
               },
               [this](const crash_news& news) { deliver(crash_news_received{news}); },
               [this] { return router_.crashes().next_news(loop_->now()); },
+              [this](usage_report&& usage) { deliver(usage_received{std::move(usage)}); },
+              [this] { return router_.next_usage_report(loop_->now()); },
               [this](duration delay) { on_pause(delay); },
               [this](log_event&& e) { write(std::move(e)); }}},
       router_timer_{loop, [this] { on_router_timer(); }}, housekeeping_{loop,
@@ -132,6 +134,7 @@
       on_less_verbose_{loop, SIGUSR2, [this] { set_log_level(less_verbose(log_->level())); }}
 {
     file_.read();
+    set_up_limits();
 }
 
 template <entry_protocol Protocol>
@@ -179,7 +182,9 @@
             bounds.load_bound,
             bounds.cold_overage,
             bounds.cold_slack,
-            bounds.evacuation_time.has_value()};
+            bounds.evacuation_time.has_value(),
+            shares_.buffered_answers,
+            bounds.waits_for_room};
 }
 
 template <entry_protocol Protocol>
@@ -334,7 +339,9 @@
         return; // An older version never replaces a newer one.
     }
     const auto& limits = version->limits();
-    caller_server_.set_limits({limits.sizes, limits.header_timeout, limits.idle_timeout});
+    caller_server_.set_limits({limits.sizes, limits.header_timeout, limits.idle_timeout,
+                               caller_server_.limits().max_connections});
+    share_memory_of_vm(limits.sizes.body);
     deliver(configuration_changed{std::move(version)});
     publish_ready();
 }
@@ -495,6 +502,7 @@
     metrics.set("target_connections_opened", static_cast<std::int64_t>(target_pool_.opened()));
     metrics.set("calls_made", static_cast<std::int64_t>(call_client_.calls_made()));
     metrics.set("gossip_bytes_sent", static_cast<std::int64_t>(fleet_.bytes_sent()));
+    report_limits();
     metrics.set("log_lines_dropped", static_cast<std::int64_t>(sink_->dropped()));
 }
 
--- a/include/endivelatch/entry/entry_settings.hpp
+++ b/include/endivelatch/entry/entry_settings.hpp
@@ -4,6 +4,7 @@
 #include "endivelatch/base/time.hpp"
 #include "endivelatch/membership/member.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <vector>
@@ -19,6 +20,7 @@
     /// from the whole fleet.
     double cold_overage = 1;
     double cold_slack = 0;
+    bool waits_for_room = false;        ///< Requests wait while no target has room for them.
     duration stop_grace{8'000'000};     ///< From the stop signal until the process is killed.
     duration entry_lifetime{1'000'000}; ///< How long callers may cache a list of entry addresses.
     /// Time within which all routers have to apply an evacuation. Nothing if the operator does not
@@ -43,6 +45,9 @@
     endpoint store;              ///< The platform's store.
     /// Rate of this VM's network link, in bytes a second; zero if unknown.
     std::uint64_t link_rate = 0;
+    /// Memory of this VM in bytes and descriptors of this process; zero if unknown.
+    std::size_t memory_limit = 0;
+    std::size_t descriptor_limit = 0;
     entry_bounds bounds;
 };
 
--- a/include/endivelatch/entry/fleet_view.hpp
+++ b/include/endivelatch/entry/fleet_view.hpp
@@ -19,8 +19,9 @@
 /// product's own routers, because callers cache entry addresses only for a few seconds.
 membership_settings entry_membership_settings();
 
-/// Returns how many load reports can be added to a gossip packet of the given encoded size.
-std::size_t load_report_capacity(std::size_t packet_size);
+/// Returns how many load reports, with or without slowdowns, can be added to a gossip packet of the
+/// given encoded size.
+std::size_t load_report_capacity(std::size_t packet_size, bool has_slowdowns = false);
 
 /// Returns how many failure reports can be added to a gossip packet of the given encoded size.
 std::size_t failure_report_capacity(std::size_t packet_size);
@@ -55,6 +56,10 @@
     std::function<void(const crash_news&)> on_crash_news;
     /// Returns what to report of crashes with the next packet.
     std::function<crash_news()> crash_news_to_send;
+    /// Another router reported the use of a pool by organisations.
+    std::function<void(usage_report&&)> on_usage;
+    /// Returns what to report of this use with the next packet.
+    std::function<usage_report()> usage_to_send;
     std::function<void(duration)> on_pause; ///< The process was not scheduled for this time.
     std::function<void(log_event&&)> on_log;
 };
@@ -82,7 +87,7 @@
     void publish_copy(object_kind kind, store_revision revision);
 
     /// Announces a load that a target has just reported.
-    void publish_load(target_key target, std::uint32_t in_flight);
+    void publish_load(const share_load& load);
 
     /// Announces that a target has failed to answer this router.
     void publish_failure(target_key target);
--- a/tests/traffic/target_choice_test.cpp
+++ b/tests/traffic/target_choice_test.cpp
@@ -123,6 +123,69 @@
     EXPECT_EQ(choose().prefill_tokens, 9'000U);
 }
 
+/// Returns what is known after reports of a target that is slow for 0.3 of the time, 500 ms each.
+machine_speed learn_speeds()
+{
+    machine_speed speed;
+    constexpr int reports = 1'000;
+    const auto slowdown_at = [](int n) { return n / 5 % 3 == 0 ? 2.5 : 1; };
+    for (int n = 0; n < reports; ++n) {
+        const auto at = time_point{} + std::chrono::milliseconds{n * 100};
+        speed.record({slowdown_at(n), at},
+                     {slowdown_at(n + 1), at + std::chrono::milliseconds{100}});
+    }
+    return speed;
+}
+
+TEST_F(choice_fixture, an_engine_that_is_slow_now_takes_no_spillover)
+{
+    query.prompt = &prompt;
+    query.speed = learn_speeds();
+    choose().target->add_request({clock.now(), 0, 30'000});
+    auto* spillover = choose().target;
+    spillover->update_load(0, clock.now(), 2.5);
+    EXPECT_NE(choose().target, spillover);
+    EXPECT_LT(choose().slowdown, 2);
+    clock.advance(seconds{4}); // The report says nothing any more.
+    EXPECT_EQ(choose().target, spillover);
+    query.speed = {};
+    spillover->update_load(0, clock.now());
+    const auto unknown = choose();
+    EXPECT_EQ(unknown.target, spillover);
+    EXPECT_EQ(unknown.slowdown, 1);
+}
+
+TEST_F(choice_fixture, a_plain_service_takes_the_faster_of_two_targets)
+{
+    query.speed = learn_speeds();
+    auto& first = *choose().target;
+    first.update_load(0, clock.now(), 2.5);
+    const auto second = choose();
+    EXPECT_NE(second.target, &first);
+    EXPECT_LT(second.slowdown, 2);
+    // Both are slow: no third target takes what all routers would send to it.
+    second.target->update_load(0, clock.now(), 2.5);
+    EXPECT_GT(choose().slowdown, 2);
+}
+
+TEST_F(choice_fixture, targets_that_are_always_equally_fast_are_chosen_as_without_figures)
+{
+    std::vector<target_id> expected;
+    for (query.request_hash = 0; query.request_hash < 50; ++query.request_hash) {
+        expected.push_back(choose().target->registration().id);
+    }
+    for (int n = 0; n < 50; ++n) {
+        const auto at = time_point{} + std::chrono::milliseconds{n * 100};
+        query.speed.record({1, at}, {1, at + std::chrono::milliseconds{100}});
+    }
+    for (int n = 1; n <= target_count; ++n) {
+        target(n).update_load(0, clock.now(), 1);
+    }
+    for (query.request_hash = 0; query.request_hash < 50; ++query.request_hash) {
+        EXPECT_EQ(choose().target->registration().id, expected.at(query.request_hash));
+    }
+}
+
 TEST_F(choice_fixture, a_prompt_that_spills_over_is_fetched_from_its_home)
 {
     query.prompt = &prompt;
@@ -329,6 +392,48 @@
     EXPECT_GE(counts.size(), 4U);
 }
 
+// Load: targets of a plain service are reported to hold `n` requests each.
+TEST_F(choice_fixture, a_request_that_can_wait_is_not_sent_to_targets_that_are_too_busy)
+{
+    const auto is_busy = [&](std::uint32_t n) {
+        for (int i = 1; i <= target_count; ++i) {
+            target(i).update_load(n, clock.now());
+        }
+        const auto result = choose_target(query, table, clock.now());
+        const auto* reason = std::get_if<no_target_reason>(&result);
+        EXPECT_TRUE(reason == nullptr || *reason == no_target_reason::all_busy);
+        clock.advance(std::chrono::milliseconds{1});
+        return reason != nullptr;
+    };
+    // Six slots of 15 ms each answer 100 requests in half of the objective of 500 ms.
+    EXPECT_FALSE(is_busy(150));
+    query.may_wait = true;
+    EXPECT_FALSE(is_busy(99));
+    EXPECT_TRUE(is_busy(101));
+    query.reserved_share = 0.2;
+    EXPECT_TRUE(is_busy(99));
+    EXPECT_FALSE(is_busy(79));
+    query.objective = {}; // What fits into the slots and as many again is always sent.
+    query.reserved_share = 0;
+    EXPECT_FALSE(is_busy(11));
+    EXPECT_TRUE(is_busy(12));
+    // An old report does not hold requests back.
+    EXPECT_TRUE(is_busy(20));
+    clock.advance(max_held_report_age);
+    EXPECT_TRUE(std::holds_alternative<chosen_target>(choose_target(query, table, clock.now())));
+}
+
+TEST_F(choice_fixture, requests_wait_for_busy_targets_rather_than_go_to_ejected_ones)
+{
+    for (int i = 2; i <= target_count; ++i) {
+        target(i).update_load(200, clock.now());
+    }
+    target(1).record_outcome(attempt_outcome::unreachable, clock.now());
+    query.may_wait = true;
+    EXPECT_EQ(std::get<no_target_reason>(choose_target(query, table, clock.now())),
+              no_target_reason::all_busy);
+}
+
 TEST_F(choice_fixture, a_repeatedly_failing_target_is_ejected_for_a_time)
 {
     for (std::uint32_t i = 0; i < target_state::ejection_threshold; ++i) {
