--- a/include/endivelatch/traffic/traffic_router.hpp
+++ b/include/endivelatch/traffic/traffic_router.hpp
@@ -28,6 +28,9 @@
     double cold_overage = 1;
     double cold_slack = 0;
     bool reads_evacuations = false; ///< `evacuations_changed` follows, also if there are none.
+    /// Bytes of plain answers that may be buffered until complete, over all requests; zero for no
+    /// bound.
+    std::size_t buffered_answers = 0;
 };
 
 /// Routes the requests of an entry router: checks route and API key, selects targets, retries, and
@@ -226,6 +229,8 @@
     bool may_have_crashed_targets(const exchange& it) const;
 
     // Statements of targets about themselves, in traffic_statements.cpp.
+    void record_load(target_state& target, std::uint32_t in_flight, std::optional<double> slowdown,
+                     time_point reported_at);
     void record_statements(target_state& target, const target_answer& answer);
     void record_limit(target_state& target, const target_answer& answer);
     void apply_limit(target_state& target, std::optional<request_rate> limit, time_point stated_at,
@@ -239,6 +244,7 @@
     void handle_refusal(exchange_number number, exchange& it, const target_answer& answer);
     void handle_failure(exchange_number number, exchange& it, target_answer&& answer);
     void handle_body_bytes(exchange_number number, exchange& it, std::string&& bytes);
+    std::size_t buffer_limit() const;
     void handle_events(exchange_number number, exchange& it, std::string_view bytes);
     void end_faulty_stream(exchange_number number, exchange& it, std::string_view reason);
     static bool is_cut_stream(const exchange& it);
@@ -272,6 +278,7 @@
     std::map<pool_id, work_estimate> work_;
     std::map<pool_id, organisation_usage> usages_;
     pool_id last_reported_usage_;
+    std::map<pool_id, machine_speed> speeds_; ///< Of pools whose targets report slowdowns.
     crash_evidence crashes_;
     counters metrics_;
     std::optional<stop_announced> stop_;
