--- a/src/entry/request_server.cpp
+++ b/src/entry/request_server.cpp
@@ -170,6 +170,9 @@
     conn.stream->limit_reads(pipelined_read_size);
     conn.exchange = exchange_number{++last_exchange_};
     exchanges_.emplace(conn.exchange, &conn);
+    if (conn.pending.size() > max_pending_bytes) {
+        conn.stream->pause_reading(true);
+    }
     callbacks_.on_request(conn.exchange, std::move(head), std::move(body));
 }
 
--- a/tests/serve/endless_replica_test.cpp
+++ b/tests/serve/endless_replica_test.cpp
@@ -37,7 +37,7 @@
     constexpr duration limit = milliseconds{1'500 + 500};
     constexpr std::size_t max_memory = 64'000'000;
     constexpr int requests = 60;
-    endless_replica replica{fleet.loop, GetParam().head, GetParam().repeated};
+    endless_replica replica{GetParam().head, GetParam().repeated};
     auto registration = fleet.registration(0);
     registration["Address"] = "127.0.0.1:" + std::to_string(replica.address().port);
     registration["born"] = registration["born"].get<std::uint64_t>() + 1;
@@ -75,7 +75,7 @@
     EXPECT_EQ(fleet.routers.at(1)->exit_code(), -1);
     EXPECT_LT(fleet.routers.at(1)->peak_memory(), max_memory);
     RecordProperty("peak_memory_kb", std::to_string(fleet.routers.at(1)->peak_memory() / 1'000));
-    RecordProperty("bytes_sent", std::to_string(replica.sent));
+    RecordProperty("bytes_sent", std::to_string(replica.sent.load()));
 }
 
 INSTANTIATE_TEST_SUITE_P(
@@ -100,7 +100,7 @@
 {
     constexpr std::size_t max_memory = 64'000'000;
     serve_fleet fleet{1};
-    endless_replica replica{fleet.loop, signed_head + "\r\n", "x"};
+    endless_replica replica{signed_head + "\r\n", "x"};
     for (std::size_t n = 0; n < fleet.replicas.size(); ++n) {
         auto registration = fleet.registration(n);
         registration["Address"] = "127.0.0.1:" + std::to_string(replica.address().port);
--- a/tests/serve/serve_fleet.hpp
+++ b/tests/serve/serve_fleet.hpp
@@ -43,8 +43,9 @@
         through_proxies, ///< Through proxies that can delay, stall and close connections.
     };
 
+    /// `bounds` are further lines of the table `Bounds` in the routers' settings.
     explicit serve_fleet(int routers, network_path path = network_path::direct,
-                         stated_limits limits = {});
+                         std::string bounds = {}, stated_limits limits = {});
     ~serve_fleet();
     serve_fleet(const serve_fleet&) = delete;
     serve_fleet(serve_fleet&&) = delete;
@@ -129,6 +130,7 @@
     stated_limits limits_;
     int port_base_;
     std::string dir_;
+    std::string bounds_;
 };
 
 } // namespace endivelatch::serve
--- a/tests/serve/uncontrolled_callers_test.cpp
+++ b/tests/serve/uncontrolled_callers_test.cpp
@@ -56,7 +56,7 @@
 struct uncontrolled_callers : testing::Test {
     explicit uncontrolled_callers(int fds = descriptors)
         : max_descriptors{static_cast<std::size_t>(fds - descriptors_for_files)},
-          fleet{1, serve_fleet::network_path::direct, {memory_mb, fds, body_limit}}
+          fleet{1, serve_fleet::network_path::direct, {}, {memory_mb, fds, body_limit}}
     {
     }
 
@@ -182,8 +182,7 @@
 TEST_F(uncontrolled_callers, answers_that_are_never_read)
 {
     constexpr int callers = 300;
-    endless_replica endless{fleet.loop,
-                            "HTTP/1.1 200 OK\r\nEndivelatch-Attempt-Id: ID\r\n"
+    endless_replica endless{"HTTP/1.1 200 OK\r\nEndivelatch-Attempt-Id: ID\r\n"
                             "Endivelatch-Response-Signature: signed\r\n\r\n",
                             "x"};
     const auto register_all = [&](const std::string& address, int born) {
