--- a/tests/serve/endless_replica.hpp
+++ b/tests/serve/endless_replica.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "net/loopback.hpp"
+
 #include "endivelatch/net/tcp_stream.hpp"
 #include "net/loopback.hpp"
 
