Let timers that are due expire while events come without pause (CONFIG)

Callers saw: an answer without end from a replica went on past the route's timeout, up to 0.5 s and more late, or until the flood paused. Cause: after each event the router set its timer again, at least 1 ms ahead; with events at shorter intervals an instant that had passed was postponed each time. Change: timer::start_for leaves an active timer alone that expires within the minimum delay. Used where timers are set again for each event: requests, copies, membership, the product's own router.

--- a/include/endivelatch/entry/entry_process_traffic.hpp
+++ b/include/endivelatch/entry/entry_process_traffic.hpp
@@ -30,7 +30,7 @@
     }
     if (const auto next = router_.next_timer()) {
         constexpr duration min_delay{1'000};
-        router_timer_.start(std::max(*next - loop_->now(), min_delay));
+        router_timer_.start_for(*next, min_delay);
     }
 }
 
--- a/include/endivelatch/entry/mirror_client.hpp
+++ b/include/endivelatch/entry/mirror_client.hpp
@@ -159,7 +159,7 @@
                        effect);
         }
         if (const auto next = mirror_.next_timer()) {
-            timer_.start(std::max(*next - now(), min_timer_delay));
+            timer_.start_for(*next, min_timer_delay);
         }
     }
 
--- a/include/endivelatch/net/timer.hpp
+++ b/include/endivelatch/net/timer.hpp
@@ -17,6 +17,11 @@
     /// Starts the timer, or restarts it when it is active.
     void start(duration after);
 
+    /// Starts the timer for an instant, but at least `min_delay` from now. If the instant has come,
+    /// an active timer that expires within `min_delay` is left alone: calls in quick succession,
+    /// one for each event of a busy loop, would otherwise postpone it forever.
+    void start_for(time_point due, duration min_delay);
+
     /// Cancels the timer.
     void stop();
 
--- a/src/endivelatch/router_process.cpp
+++ b/src/endivelatch/router_process.cpp
@@ -256,8 +256,7 @@
 
 void router_process::execute(set_timer& effect)
 {
-    const auto remaining = effect.at - loop_.now();
-    wake_timer_.start(std::max(remaining, min_timer_delay));
+    wake_timer_.start_for(effect.at, min_timer_delay);
 }
 
 void router_process::execute(exit_process& /*effect*/)
--- a/src/entry/fleet_view.cpp
+++ b/src/entry/fleet_view.cpp
@@ -344,7 +344,7 @@
 
 void fleet_view::schedule()
 {
-    timer_.start(std::max(membership_.next_timer() - loop_->now(), min_timer_delay));
+    timer_.start_for(membership_.next_timer(), min_timer_delay);
 }
 
 void fleet_view::apply(membership_effects&& effects)
--- a/src/net/timer.cpp
+++ b/src/net/timer.cpp
@@ -28,6 +28,20 @@
     ev_timer_start(loop_->handle(), &watcher_);
 }
 
+void timer::start_for(time_point due, duration min_delay)
+{
+    const auto left = due - loop_->now();
+    if (left <= min_delay && is_active()) {
+        ev_now_update(loop_->handle());
+        const std::chrono::duration<double> remaining{
+            ev_timer_remaining(loop_->handle(), &watcher_)};
+        if (remaining <= min_delay) {
+            return;
+        }
+    }
+    start(std::max(left, min_delay));
+}
+
 void timer::stop()
 {
     ev_timer_stop(loop_->handle(), &watcher_);
--- a/tests/net/event_loop_test.cpp
+++ b/tests/net/event_loop_test.cpp
@@ -40,5 +40,25 @@
     EXPECT_EQ(order, "el");
 }
 
+// A router that forwards bytes without end handles events at intervals below the minimum delay.
+TEST(timer, expires_although_it_is_set_again_for_each_event_of_a_busy_loop)
+{
+    event_loop loop;
+    bool has_expired = false;
+    timer due{loop, [&] { has_expired = true; }};
+    const auto instant = loop.now();
+    const auto ends_at = instant + std::chrono::seconds{5};
+    // Calls that are posted again and again keep the loop from waiting.
+    const std::function<void()> handle_event = [&] {
+        due.start_for(instant, std::chrono::milliseconds{1});
+        loop.post(handle_event);
+    };
+    loop.post(handle_event);
+    while (!has_expired && loop.now() < ends_at) {
+        loop.run_once();
+    }
+    EXPECT_TRUE(has_expired);
+}
+
 } // namespace
 } // namespace endivelatch
--- a/tests/serve/serve_fleet.cpp
+++ b/tests/serve/serve_fleet.cpp
@@ -15,6 +15,8 @@
 
 constexpr int ports_per_router = 8;
 constexpr int replica_count = 3;
+/// Bytes of a response that are kept; larger ones come from replicas that send without end.
+constexpr std::size_t max_kept_body = 1'048'576;
 
 /// Returns a port below the ephemeral range. It depends on the process ID, so that parallel test
 /// processes use different ports.
@@ -34,7 +36,8 @@
                               responses[id].headers = std::move(head.headers);
                           },
                           [this](outgoing_id id, std::string_view bytes) {
-                              responses[id].body += bytes;
+                              auto& body = responses[id].body;
+                              body += bytes.substr(0, max_kept_body - body.size());
                           },
                           [this](outgoing_id id) {
                               responses[id].is_complete = true;
