--- a/include/endivelatch/entry/entry_process.hpp
+++ b/include/endivelatch/entry/entry_process.hpp
@@ -68,7 +68,7 @@
     void execute(end_answer& e);
     void execute(abort_answer& e);
     void execute(refuse_request& e);
-    void execute(const share_load& e) { fleet_.publish_load(e.target, e.in_flight); }
+    void execute(const share_load& e) { fleet_.publish_load(e); }
     void execute(const share_failure& e) { fleet_.publish_failure(e.target); }
     void execute(const share_limit& e) { fleet_.publish_limit(e.target, e.limit); }
     void execute(write_log& e) { write(std::move(e.event)); }
@@ -160,8 +160,8 @@
     std::map<exchange_number, copy_waiter> copy_waiters_;
     std::map<std::string, store_revision>
         unreadable_revisions_; ///< Of the invalid registrations, which were logged.
-    std::map<std::string_view, refusal_counts> reported_refusals_; ///< By address.
     bool reads_evacuations_ = false;
+    std::map<std::string_view, refusal_counts> reported_refusals_; ///< By address.
     bool was_ready_ = false;
     bool is_stopping_ = false;
     bool has_ended_requests_ = false; ///< The time to stop is over.
--- a/include/endivelatch/entry/entry_process_life.hpp
+++ b/include/endivelatch/entry/entry_process_life.hpp
@@ -117,6 +117,8 @@
               },
               [this](const crash_news& news) { deliver(crash_news_received{news}); },
               [this] { return router_.crashes().next_news(loop_->now()); },
+              [this](usage_report&& usage) { deliver(usage_received{std::move(usage)}); },
+              [this] { return router_.next_usage_report(loop_->now()); },
               [this](duration delay) { on_pause(delay); },
               [this](log_event&& e) { write(std::move(e)); }}},
       router_timer_{loop, [this] { on_router_timer(); }}, housekeeping_{loop,
@@ -181,7 +183,8 @@
             bounds.cold_overage,
             bounds.cold_slack,
             bounds.evacuation_time.has_value(),
-            shares_.buffered_answers};
+            shares_.buffered_answers,
+            bounds.waits_for_room};
 }
 
 template <entry_protocol Protocol>
@@ -264,7 +267,7 @@
     if (!copy.mirror().is_connected()) {
         // Another router may hold a newer copy.
         const auto status =
-            query->from_watcher ? copy_answer::not_watching : copy_answer::nothing_newer;
+            query->from_watcher ? copy_answer::store_lost : copy_answer::nothing_newer;
         peer_server_.respond(id, status, {}, {});
         return;
     }
--- a/src/traffic/target_choice.cpp
+++ b/src/traffic/target_choice.cpp
@@ -7,6 +7,7 @@
 #include <limits>
 #include <numeric>
 #include <span>
+#include <utility>
 #include <vector>
 
 namespace endivelatch {
@@ -20,6 +21,7 @@
     double cost_ms = 0;
     std::uint32_t prefill_tokens = 0;
     duration wait{};
+    double slowdown = 1; ///< Expected time of work, relative to the usual time.
     bool is_home = false;
     bool is_acting_home = false;   ///< Highest rendezvous weight of the available targets.
     bool has_failed = false;       ///< Ejected, or suspected by other routers.
@@ -82,6 +84,34 @@
     }
 }
 
+/// Returns how many requests a plain target may hold.
+double service_bound(const choice_query& query, std::uint32_t slots)
+{
+    const auto usual = slots * (1 + service_queue_share);
+    if (!query.may_wait) {
+        return usual;
+    }
+    const auto timely = timely_requests(slots, query.objective, query.work.service_time_ms());
+    return std::max(std::max(usual, timely) * (1 - query.reserved_share), 1.0);
+}
+
+/// Returns a random error of the load report of a plain target, in requests. Its range grows with
+/// the age of the report by what the slots serve in that time. It differs between requests, so that
+/// of many routers with the same old reports only a part sends to a target or holds back. Otherwise
+/// the target would be overloaded and idle by turns.
+double report_error(const choice_query& query, const target_state& target, time_point now)
+{
+    const auto slots = target.registration().slots;
+    const auto age = target.report_age(now);
+    if (!query.may_wait || query.prompt != nullptr || slots == 0 || !age) {
+        return 0;
+    }
+    const auto served = slots * std::chrono::duration<double, std::milli>{*age}.count() /
+                        query.work.service_time_ms();
+    const auto range = std::min(served, max_report_error * service_bound(query, slots));
+    return range * (2 * random_source{query.request_hash ^ target.hash()}.fraction() - 1);
+}
+
 std::vector<candidate> estimate_load(const choice_query& query,
                                      const std::vector<target_state*>& targets, time_point now)
 {
@@ -92,8 +122,11 @@
     for (auto* it : targets) {
         candidate c;
         c.target = it;
-        c.in_flight = it->own_in_flight() + it->others_in_flight(expected, now);
+        c.in_flight = std::max(it->own_in_flight() + it->others_in_flight(expected, now) +
+                                   report_error(query, *it, now),
+                               0.0);
         c.rank = rendezvous_weight(placement, it->hash());
+        c.slowdown = query.speed.expected(it->slowdown(), now);
         c.has_failed = it->is_ejected(now);
         all.push_back(c);
     }
@@ -151,22 +184,24 @@
     it.wait = it.target->expected_wait(query.priority, now);
     const auto wait_ms = std::chrono::duration<double, std::milli>{it.wait}.count();
     const auto rate = query.work.prefill_tokens_per_ms();
-    const auto queued_ms = static_cast<double>(it.target->prefill_tokens()) / rate;
-    it.cost_ms = it.prefill_tokens / rate + std::max(wait_ms, queued_ms) +
-                 it.in_flight * engine_ms_per_request + domain_cost(query, it);
+    const auto queued_ms = static_cast<double>(it.target->prefill_tokens()) / rate * it.slowdown;
+    it.cost_ms = it.prefill_tokens / rate * it.slowdown + std::max(wait_ms, queued_ms) +
+                 it.in_flight * engine_ms_per_request * it.slowdown + domain_cost(query, it);
 }
 
 /// Estimates the wait for a slot, plus a small cost for each occupied slot. Slots that other
 /// routers occupy count less: their number changes within a service time, and routers that followed
-/// the same report would all choose the same target.
+/// the same report would all choose the same target. The time of the request itself counts as far
+/// as it differs from the mean.
 void estimate_service_cost(const choice_query& query, candidate& it)
 {
     const double slots = std::max(it.target->registration().slots, 1U);
     const double own = it.target->own_in_flight();
     const auto waiting = std::max(0.0, it.in_flight + 1 - slots);
     const auto occupied = own + others_slot_weight * (it.in_flight - own);
-    it.cost_ms =
-        (waiting + occupied) * query.work.service_time_ms() / slots + domain_cost(query, it);
+    const auto service_ms = query.work.service_time_ms();
+    it.cost_ms = (waiting + occupied) * service_ms / slots * it.slowdown + domain_cost(query, it) +
+                 service_ms * (it.slowdown - query.speed.mean());
 }
 
 /// Returns the usable share of the load bound, which decreases with the age of the load report.
@@ -197,9 +232,21 @@
     if (it.in_flight + 1 > std::max(bound, 1.0)) {
         return false;
     }
-    const double slots = it.target->registration().slots;
-    return query.prompt != nullptr || slots == 0 ||
-           it.in_flight < slots * (1 + service_queue_share);
+    const auto slots = it.target->registration().slots;
+    return query.prompt != nullptr || slots == 0 || it.in_flight < service_bound(query, slots);
+}
+
+/// Returns whether the request waits in the router rather than at the target, which holds more than
+/// it can answer in time. A load report counts for as long as the target needs to answer what it
+/// holds too much: if all routers held back for longer, no answer would tell that there is room.
+bool is_held_back(const choice_query& query, const candidate& it, time_point now)
+{
+    const auto slots = it.target->registration().slots;
+    const auto age = it.target->report_age(now);
+    if (!query.may_wait || query.prompt != nullptr || slots == 0 || it.has_failed || !age) {
+        return false;
+    }
+    return *age < max_held_report_age && it.in_flight >= service_bound(query, slots);
 }
 
 /// Expected time of the first event, relative to the objective.
@@ -243,6 +290,25 @@
     return a.cost_ms < b.cost_ms || (a.cost_ms == b.cost_ms && a.rank > b.rank);
 }
 
+/// Returns the best of the targets, or null if there are none. Requests to a plain service whose
+/// targets change their speed choose among the few with the highest rendezvous weights for the
+/// request: all routers know the same speeds, and would otherwise send everything to the target
+/// that was fast last.
+const candidate* find_best(const choice_query& query, std::vector<const candidate*>&& eligible)
+{
+    if (query.prompt == nullptr && query.speed.varies()) {
+        const auto count = std::min(eligible.size(), spread_choices);
+        const auto end = eligible.begin() + static_cast<std::ptrdiff_t>(count);
+        std::partial_sort(eligible.begin(), end, eligible.end(),
+                          [](const auto* a, const auto* b) { return a->rank > b->rank; });
+        eligible.erase(end, eligible.end());
+    }
+    const auto it =
+        std::min_element(eligible.begin(), eligible.end(),
+                         [&](const auto* a, const auto* b) { return is_better(query, *a, *b); });
+    return it == eligible.end() ? nullptr : *it;
+}
+
 /// Returns the mean load of the targets that are not cold and have no rate limit, or of all if
 /// there are none. The others hold less than their part, so these have to hold more.
 double mean_in_flight(const std::vector<candidate>& all, time_point now)
@@ -341,6 +407,8 @@
         return "all_decline";
     case no_target_reason::all_late:
         return "all_late";
+    case no_target_reason::all_busy:
+        return "all_busy";
     }
     return "unknown";
 }
@@ -351,6 +419,12 @@
     return std::chrono::duration_cast<duration>(objective * share);
 }
 
+double timely_requests(std::uint32_t slots, duration objective, double service_time_ms)
+{
+    const auto objective_ms = std::chrono::duration<double, std::milli>{objective}.count();
+    return slots * on_time_share * objective_ms / service_time_ms;
+}
+
 target_choice choose_target(const choice_query& query, const target_table& table, time_point now)
 {
     const auto& targets = table.ready(query.pool);
@@ -362,9 +436,11 @@
     const auto mean = mean_in_flight(all, now);
     mark_homes(query, all, now);
 
-    const candidate* best = nullptr;
+    std::vector<const candidate*> eligible;
+    eligible.reserve(all.size());
     const candidate* fallback = nullptr; ///< Above its bound or ejected, but without obstacle.
     bool is_any_declining = false;
+    bool is_any_held_back = false;
     for (auto& it : all) {
         if (was_tried(query, it)) {
             continue;
@@ -373,15 +449,23 @@
                                 : estimate_service_cost(query, it);
         is_any_declining = is_any_declining || declines(*it.target, now);
         if (is_below_bound(query, it, mean, now)) {
-            best = best == nullptr || is_better(query, it, *best) ? &it : best;
+            eligible.push_back(&it);
+        }
+        else if (!it.target->obstacle(now) && is_held_back(query, it, now)) {
+            is_any_held_back = true;
         }
         else if (!it.target->obstacle(now)) {
             fallback = fallback == nullptr || it.in_flight < fallback->in_flight ? &it : fallback;
         }
     }
+    const auto* best = find_best(query, std::move(eligible));
     if (best == nullptr && query.tried != nullptr && query.tried->size() >= all.size()) {
         return no_target_reason::all_tried;
     }
+    const bool is_fallback_sound = fallback != nullptr && !fallback->has_failed;
+    if (best == nullptr && is_any_held_back && !is_fallback_sound) {
+        return no_target_reason::all_busy;
+    }
     if (best == nullptr) {
         best = fallback;
     }
@@ -393,14 +477,10 @@
         best->wait > max_expected_wait(query.objective, query.priority)) {
         return no_target_reason::all_late;
     }
-    return chosen_target{best->target,
-                         best->in_flight,
-                         mean,
-                         best->cost_ms,
-                         best->prefill_tokens,
-                         best->wait,
-                         best->is_home,
-                         find_fetch_source(query, table, *best, now)};
+    return chosen_target{
+        best->target,   best->in_flight,      mean,
+        best->cost_ms,  best->prefill_tokens, best->wait,
+        best->slowdown, best->is_home,        find_fetch_source(query, table, *best, now)};
 }
 
 } // namespace endivelatch
--- a/src/traffic/traffic_router.cpp
+++ b/src/traffic/traffic_router.cpp
@@ -43,12 +43,25 @@
 {
     // In the order of the variant.
     constexpr std::array<const char*, std::variant_size_v<traffic_event>> names{
-        "request_arrived",       "caller_disconnected", "attempt_broken",
-        "answer_begun",          "answer_bytes",        "answer_finished",
-        "configuration_changed", "targets_changed",     "evacuations_changed",
-        "fleet_changed",         "routers_found",       "loads_received",
-        "failures_received",     "limits_received",     "crash_news_received",
-        "stop_announced",        "exit_announced",      "timer_due"};
+        "request_arrived",
+        "caller_disconnected",
+        "attempt_broken",
+        "answer_begun",
+        "answer_bytes",
+        "answer_finished",
+        "configuration_changed",
+        "targets_changed",
+        "evacuations_changed",
+        "fleet_changed",
+        "routers_found",
+        "loads_received",
+        "failures_received",
+        "limits_received",
+        "crash_news_received",
+        "usage_received",
+        "stop_announced",
+        "exit_announced",
+        "timer_due"};
     return names.at(event.index());
 }
 
@@ -66,6 +79,7 @@
 {
     now_ = now;
     std::visit([this](auto& e) { on(e); }, event);
+    serve_waiting();
     return std::exchange(effects_, {});
 }
 
@@ -82,6 +96,12 @@
     if (evacuations_due_at_ && awaits_evacuations()) {
         next = std::min(next.value_or(*evacuations_due_at_), *evacuations_due_at_);
     }
+    for (const auto& [pool, queue] : waiting_) {
+        if (const auto expiry = queue.next_expiry()) {
+            const auto check_at = std::min(*expiry, check_waiting_at_);
+            next = std::min(next.value_or(check_at), check_at);
+        }
+    }
     return next;
 }
 
@@ -94,6 +114,15 @@
         metrics_.set("service_time_us", std::llround(work.service_time_ms() * 1'000), labels);
     }
     metrics_.set("cold_targets", static_cast<std::int64_t>(targets_.cold(now_).size()));
+    for (const auto& [pool, speed] : speeds_) {
+        const auto labels = "pool=\"" + pool.str() + '"';
+        metrics_.set("mean_slowdown_percent", std::llround(speed.mean() * 100), labels);
+        metrics_.set("slowdown_persistence_ms", speed.persistence().count() / 1'000, labels);
+    }
+    for (const auto& [pool, queue] : waiting_) {
+        metrics_.set("requests_waiting", static_cast<std::int64_t>(queue.size()),
+                     "pool=\"" + pool.str() + '"');
+    }
 }
 
 void traffic_router::on(request_arrived& e)
@@ -159,8 +188,8 @@
     if (auto* target = target_of(state); target != nullptr && e.answer.load) {
         const auto in_flight = e.answer.load->running + e.answer.load->waiting;
         crashes_.record_sign_of_life(target->key(), now_);
-        target->update_load(in_flight, now_);
-        effects_.emplace_back(share_load{target->key(), in_flight});
+        record_load(*target, in_flight, e.answer.load->slowdown, now_);
+        effects_.emplace_back(share_load{target->key(), in_flight, e.answer.load->slowdown});
     }
     if (!e.answer.answered_attempt.empty() && e.answer.answered_attempt != state.request->id) {
         metrics_.add("answers_of_other_requests");
@@ -233,6 +262,7 @@
 void traffic_router::on(configuration_changed& e)
 {
     configuration_ = std::move(e.configuration);
+    profiles_.clear();
     log(log_event{"configuration_in_force"}
             .add("version", configuration_->version().value())
             .add("routes", configuration_->route_count()));
@@ -286,7 +316,7 @@
 {
     for (const auto& it : e.loads) {
         if (auto* target = targets_.find(it.target)) {
-            target->update_load(it.in_flight, it.reported_at);
+            record_load(*target, it.in_flight, it.slowdown, it.reported_at);
             crashes_.record_sign_of_life(it.target, it.reported_at);
         }
     }
--- a/tests/serve/serve_fleet.cpp
+++ b/tests/serve/serve_fleet.cpp
@@ -27,7 +27,7 @@
 
 } // namespace
 
-serve_fleet::serve_fleet(int count, network_path path, std::string bounds, stated_limits limits)
+serve_fleet::serve_fleet(int count, network_path path, stated_limits limits)
     : client_connections{loop,
                          {[this](outgoing_id id, response_head&& head) {
                               responses[id].status = head.status;
@@ -44,8 +44,7 @@
                               responses[id].has_ended = true;
                           }}},
       router_count_{count}, limits_{limits}, port_base_{choose_first_port()},
-      dir_{testing::TempDir() + "endivelatch-serve-" + std::to_string(getpid())}, bounds_{std::move(
-                                                                                      bounds)}
+      dir_{testing::TempDir() + "endivelatch-serve-" + std::to_string(getpid())}
 {
     std::filesystem::create_directories(dir_);
     for (int n = 1; n <= replica_count; ++n) {
@@ -118,8 +117,8 @@
         << limit("MemoryMb", limits_.memory_mb) << limit("MaxFds", limits_.descriptors)
         << "[Bounds]\nGraceS = 4\nRetryBudgetRatio = 0.2\n"
         << "RetrySlack = 50\nCapFactor = 2\nttl_max_s = 5\n"
-        << bounds_ << "\n[Platform]\nAddress = \"" << store_address().address << ":"
-        << store_address().port << "\"\n";
+        << limit("EvacuateMs", limits_.evacuate_ms) << "[Platform]\nAddress = \""
+        << store_address().address << ":" << store_address().port << "\"\n";
     return out.str();
 }
 
--- a/tests/serve/serve_fleet.hpp
+++ b/tests/serve/serve_fleet.hpp
@@ -32,6 +32,7 @@
     int body_bytes = 10'000;
     int header_timeout_ms = 0;
     int idle_timeout_ms = 0;
+    int evacuate_ms = 0; ///< Without it, routers read no evacuations.
 };
 
 /// Entry routers as child processes, with stand-ins for the store and the replicas in this process.
@@ -43,9 +44,8 @@
         through_proxies, ///< Through proxies that can delay, stall and close connections.
     };
 
-    /// `bounds` are further lines of the table `Bounds` in the routers' settings.
     explicit serve_fleet(int routers, network_path path = network_path::direct,
-                         std::string bounds = {}, stated_limits limits = {});
+                         stated_limits limits = {});
     ~serve_fleet();
     serve_fleet(const serve_fleet&) = delete;
     serve_fleet(serve_fleet&&) = delete;
@@ -130,7 +130,6 @@
     stated_limits limits_;
     int port_base_;
     std::string dir_;
-    std::string bounds_;
 };
 
 } // namespace endivelatch::serve
