--- a/tests/serve/caller_crowd.hpp
+++ b/tests/serve/caller_crowd.hpp
@@ -48,6 +48,9 @@
                              [&](const auto& it) { return it->received.starts_with(start); });
     }
 
+    /// Returns the first bytes that a caller received.
+    const std::string& received(std::size_t number) const { return callers_[number]->received; }
+
     /// Returns how many connections the router closed.
     auto closed() const
     {
--- a/tests/serve/uncontrolled_callers_test.cpp
+++ b/tests/serve/uncontrolled_callers_test.cpp
@@ -235,6 +235,19 @@
     EXPECT_GT(announced.answered(200) + chunked.answered(200), 0);
 }
 
+// Bodies above `max_copied_body` are sent from where they are, after the head.
+TEST_F(uncontrolled_callers, a_large_body_reaches_its_target_unchanged)
+{
+    std::string body;
+    for (int n = 0; body.size() < 50'000; ++n) {
+        body += std::to_string(n) + ",";
+    }
+    const caller_crowd crowd{
+        fleet.loop, fleet.frontend_endpoint(1), {announced_head(body.size()) + body, {}, 0, {}}, 1};
+    run_until(fleet.loop, [&] { return crowd.received(0).ends_with(body); });
+    EXPECT_EQ(crowd.answered(200), 1);
+}
+
 /// A router with few descriptors.
 struct uncontrolled_connections : uncontrolled_callers {
     uncontrolled_connections() : uncontrolled_callers{few_descriptors} {}
