--- a/src/traffic/target_choice.cpp
+++ b/src/traffic/target_choice.cpp
@@ -94,14 +94,12 @@
 }
 
 /// Returns a random error of the load report of a plain target, in requests. Its range grows with
-/// the age of the report by what the slots serve in that time. It differs between requests, so that
-/// of many routers with the same old reports only a part sends to a target or holds back. Otherwise
-/// the target would be overloaded and idle by turns.
+/// the age of the report by what the slots serve in that time.
 double report_error(const choice_query& query, const target_state& target, time_point now)
 {
     const auto slots = target.registration().slots;
     const auto age = target.report_age(now);
-    if (!query.may_wait || query.prompt != nullptr || slots == 0 || !age) {
+    if (slots == 0 || !age) {
         return 0;
     }
     const auto served = slots * std::chrono::duration<double, std::milli>{*age}.count() /
@@ -120,9 +118,7 @@
     for (auto* it : targets) {
         candidate c;
         c.target = it;
-        c.in_flight = std::max(it->own_in_flight() + it->others_in_flight(expected, now) +
-                                   report_error(query, *it, now),
-                               0.0);
+        c.in_flight = it->own_in_flight() + it->others_in_flight(expected, now);
         c.rank = rendezvous_weight(placement, it->hash());
         c.has_failed = it->is_ejected(now);
         all.push_back(c);
@@ -131,6 +127,29 @@
     return all;
 }
 
+/// Returns whether the targets of a plain service hold at least as many requests as they have
+/// slots, so that more have to wait anywhere.
+bool is_under_pressure(const choice_query& query, const std::vector<candidate>& all)
+{
+    double in_flight = 0;
+    double slots = 0;
+    for (const auto& it : all) {
+        in_flight += it.in_flight;
+        slots += it.target->registration().slots;
+    }
+    return query.prompt == nullptr && slots > 0 && in_flight >= slots;
+}
+
+/// Adds random errors to the loads. They differ between requests, so that of many routers with the
+/// same old reports only a part sends to a target or holds back. Otherwise a target under pressure
+/// would be overloaded and idle by turns.
+void add_report_errors(const choice_query& query, std::vector<candidate>& all, time_point now)
+{
+    for (auto& it : all) {
+        it.in_flight = std::max(it.in_flight + report_error(query, *it.target, now), 0.0);
+    }
+}
+
 bool was_tried(const choice_query& query, const candidate& it)
 {
     return query.tried != nullptr && query.tried->contains(it.target->registration().id);
@@ -238,7 +257,7 @@
 {
     const auto slots = it.target->registration().slots;
     const auto age = it.target->report_age(now);
-    if (!query.may_wait || query.prompt != nullptr || slots == 0 || it.has_failed || !age) {
+    if (slots == 0 || it.has_failed || !age) {
         return false;
     }
     return *age < max_held_report_age && it.in_flight >= service_bound(query, slots);
@@ -285,16 +304,16 @@
     return a.cost_ms < b.cost_ms || (a.cost_ms == b.cost_ms && a.rank > b.rank);
 }
 
-/// Returns the mean load of the targets without a rate limit, or of all if each has one. Limited
-/// targets hold less than their part, so the others have to hold more.
-double mean_in_flight(const std::vector<candidate>& all)
+/// Returns the mean load of the targets that are not cold and have no rate limit, or of all if
+/// there are none. The others hold less than their part, so these have to hold more.
+double mean_in_flight(const std::vector<candidate>& all, time_point now)
 {
     double total = 0;
     double unlimited_total = 0;
     std::size_t unlimited = 0;
     for (const auto& it : all) {
         total += it.in_flight;
-        if (it.target->limit() == nullptr) {
+        if (it.target->limit() == nullptr && !it.target->cold().is_cold(now)) {
             unlimited_total += it.in_flight;
             ++unlimited;
         }
@@ -313,8 +332,7 @@
     const target_state* source = nullptr;
     for (const auto* it : table.registered(query.pool)) {
         const auto tokens = it->cached_tokens(shared, now);
-        if (tokens > most && it != chosen.target && !it->is_ejected(now) &&
-            it->suspicion(now) == 0) {
+        if (tokens > most && it != chosen.target && it->serves_fetches(now)) {
             most = tokens;
             source = it;
         }
@@ -323,9 +341,10 @@
 }
 
 /// Returns the previous home of the prompt: the target with the highest rendezvous weight other
-/// than the chosen one, including leaving targets. Targets that joined recently are excluded, as
-/// they have cached little. If the chosen target is the home, targets that did not join well before
-/// it are excluded too, since they have cached no more than it.
+/// than the chosen one, including leaving targets and those evacuated a moment ago. Targets that
+/// joined recently are excluded, as they have cached little. If the chosen target is the home,
+/// targets that did not join well before it are excluded too, since they have cached no more than
+/// it, unless they are evacuated: then they may have been the home until now.
 const target_state* find_previous_home(const target_table& table, const choice_query& query,
                                        const candidate& chosen, time_point now)
 {
@@ -334,10 +353,9 @@
     const target_state* source = nullptr;
     std::uint64_t best = 0;
     for (const auto* it : table.registered(query.pool)) {
-        const bool is_warm = it->known_since() <= joined_before;
+        const bool is_warm = it->known_since() <= joined_before || it->is_evacuated();
         const auto weight = rendezvous_weight(placement, it->hash());
-        if (it != chosen.target && is_warm && !it->is_ejected(now) && it->suspicion(now) == 0 &&
-            weight > best) {
+        if (it != chosen.target && is_warm && it->serves_fetches(now) && weight > best) {
             best = weight;
             source = it;
         }
@@ -374,6 +392,8 @@
     switch (reason) {
     case no_target_reason::none_registered:
         return "none_registered";
+    case no_target_reason::all_evacuated:
+        return "all_evacuated";
     case no_target_reason::all_tried:
         return "all_tried";
     case no_target_reason::all_full:
@@ -404,10 +424,15 @@
 {
     const auto& targets = table.ready(query.pool);
     if (targets.empty()) {
-        return no_target_reason::none_registered;
+        return table.has_evacuated(query.pool) ? no_target_reason::all_evacuated
+                                               : no_target_reason::none_registered;
     }
     auto all = estimate_load(query, targets, now);
-    const auto mean = mean_in_flight(all);
+    const bool may_hold_back = query.may_wait && is_under_pressure(query, all);
+    if (may_hold_back) {
+        add_report_errors(query, all, now);
+    }
+    const auto mean = mean_in_flight(all, now);
     mark_homes(query, all, now);
 
     const candidate* best = nullptr;
@@ -424,7 +449,7 @@
         if (is_below_bound(query, it, mean, now)) {
             best = best == nullptr || is_better(query, it, *best) ? &it : best;
         }
-        else if (!it.target->obstacle(now) && is_held_back(query, it, now)) {
+        else if (may_hold_back && !it.target->obstacle(now) && is_held_back(query, it, now)) {
             is_any_held_back = true;
         }
         else if (!it.target->obstacle(now)) {
--- a/src/traffic/traffic_attempts.cpp
+++ b/src/traffic/traffic_attempts.cpp
@@ -16,6 +16,23 @@
     return std::to_string(scaled / 10) + '.' + std::to_string(std::abs(scaled % 10));
 }
 
+/// Returns whether there may be a target within the time that a request can wait.
+bool may_end_soon(no_target_reason reason)
+{
+    switch (reason) {
+    case no_target_reason::all_tried:
+    case no_target_reason::all_full:
+    case no_target_reason::all_decline:
+    case no_target_reason::all_busy:
+        return true;
+    case no_target_reason::none_registered:
+    case no_target_reason::all_late:
+    case no_target_reason::all_evacuated:
+        break;
+    }
+    return false;
+}
+
 } // namespace
 
 void traffic_router::start_next_attempt(exchange_number number, exchange& it)
@@ -36,8 +53,7 @@
         send_attempt(number, it, std::get<chosen_target>(result));
         return;
     }
-    if (*reason != no_target_reason::none_registered && *reason != no_target_reason::all_late &&
-        wait_for_room(number, it, to_string(*reason))) {
+    if (may_end_soon(*reason) && wait_for_room(number, it, to_string(*reason))) {
         return;
     }
     log(log_event{"no_target"}
@@ -84,6 +100,9 @@
     else if (reason == no_target_reason::all_decline) {
         shortest = decline_retry_after(it);
     }
+    else if (reason == no_target_reason::all_evacuated) {
+        shortest = evacuated_retry_after(it);
+    }
     return spread_retry_after(shortest, it);
 }
 
--- a/src/traffic/traffic_waiting.cpp
+++ b/src/traffic/traffic_waiting.cpp
@@ -35,9 +35,9 @@
 }
 
 /// Returns whether requests to the pool wait for room.
-bool traffic_router::waits_for_room(const pool_id&) const
+bool traffic_router::waits_for_room(const pool_id& pool) const
 {
-    return settings_.waits_for_room;
+    return settings_.waits_for_room || varying_pools_.contains(pool);
 }
 
 /// Counts a new request among those of its group.
--- a/tests/platform_adapter/settings_test.cpp
+++ b/tests/platform_adapter/settings_test.cpp
@@ -28,6 +28,8 @@
 RetryBudgetRatio = 0.25
 RetrySlack = 52
 CapFactor = 3
+ColdOverage = 1.5
+ColdSlack = 5
 ttl_max_s = 5
 [Platform]
 Address = "10.200.1.7:8223"
@@ -51,8 +53,20 @@
     EXPECT_DOUBLE_EQ(settings.bounds.retry_share, 0.25);
     EXPECT_DOUBLE_EQ(settings.bounds.retry_burst, 52);
     EXPECT_DOUBLE_EQ(settings.bounds.load_bound, 3);
+    EXPECT_DOUBLE_EQ(settings.bounds.cold_overage, 1.5);
+    EXPECT_DOUBLE_EQ(settings.bounds.cold_slack, 5);
     EXPECT_EQ(settings.bounds.stop_grace, std::chrono::seconds{8});
     EXPECT_LE(settings.bounds.entry_lifetime, std::chrono::seconds{5});
+    EXPECT_FALSE(settings.bounds.evacuation_time);
+}
+
+TEST(platform_settings, a_bound_of_evacuations_is_optional)
+{
+    std::string text = complete_settings;
+    text.insert(text.find("GraceS"), "EvacuateMs = 5000\n");
+    const auto read = platform::protocol::read_settings(text);
+    ASSERT_TRUE(has_value(read));
+    EXPECT_EQ(value_of(read).bounds.evacuation_time, std::chrono::seconds{5});
 }
 
 TEST(platform_settings, requests_wait_for_room_only_if_the_contracts_ask_for_it)
--- a/tests/traffic/router_waiting_test.cpp
+++ b/tests/traffic/router_waiting_test.cpp
@@ -196,5 +196,20 @@
     }
 }
 
+// Load: any. Targets that share their machines with others state how long work takes there now.
+TEST_F(waiting_fixture, requests_wait_for_targets_that_state_the_speed_of_their_machines)
+{
+    start(false);
+    arrive("safe");
+    auto answer = success();
+    answer.load = target_load{1, 0, 6, 1.0};
+    dispatch(answer_begun{started(), answer});
+    clock.advance(1ms);
+    report_load(busy);
+    arrive("safe");
+    EXPECT_EQ(find<start_attempt>(), nullptr);
+    EXPECT_EQ(router.waiting(), 1U);
+}
+
 } // namespace
 } // namespace endivelatch
--- a/tests/traffic/waiting_fleet_test.cpp
+++ b/tests/traffic/waiting_fleet_test.cpp
@@ -137,7 +137,7 @@
                 answer.status = 200;
                 answer.is_signed = true;
                 answer.answered_attempt = it.id;
-                answer.load = target_load{static_cast<std::uint32_t>(queue.size()), 0, slots};
+                answer.load = target_load{static_cast<std::uint32_t>(queue.size()), 0, slots, {}};
                 dispatch(it.router, answer_begun{it.key, answer});
                 dispatch(it.router, answer_finished{it.key});
                 const auto& caller = callers_.at(it.id);
