--- a/include/endivelatch/traffic/target_choice.hpp
+++ b/include/endivelatch/traffic/target_choice.hpp
@@ -71,7 +71,7 @@
 inline constexpr double cross_domain_ms = 4;
 /// Requests that may queue at a plain target, as a share of its slots.
 inline constexpr double service_queue_share = 1.0;
-/// Largest random error of a load report, relative to the requests that the target may hold.
+/// Largest random error of a load report, relative to the requests that the target holds.
 inline constexpr double max_report_error = 1.5;
 /// Age from which a load report does not hold requests back. If all routers held back for long, no
 /// answer would tell that there is room.
--- a/src/traffic/target_choice.cpp
+++ b/src/traffic/target_choice.cpp
@@ -94,18 +94,19 @@
 }
 
 /// Returns a random error of the load report of a plain target, in requests. Its range grows with
-/// the age of the report by what the slots serve in that time.
-double report_error(const choice_query& query, const target_state& target, time_point now)
+/// the age of the report by what the slots serve in that time, and with the load.
+double report_error(const choice_query& query, const candidate& it, time_point now)
 {
-    const auto slots = target.registration().slots;
-    const auto age = target.report_age(now);
+    const auto slots = it.target->registration().slots;
+    const auto age = it.target->report_age(now);
     if (slots == 0 || !age) {
         return 0;
     }
     const auto served = slots * std::chrono::duration<double, std::milli>{*age}.count() /
                         query.work.service_time_ms();
-    const auto range = std::min(served, max_report_error * service_bound(query, slots));
-    return range * (2 * random_source{query.request_hash ^ target.hash()}.fraction() - 1);
+    const auto load = std::min(it.in_flight, service_bound(query, slots));
+    const auto range = std::min(served, max_report_error * load);
+    return range * (2 * random_source{query.request_hash ^ it.target->hash()}.fraction() - 1);
 }
 
 std::vector<candidate> estimate_load(const choice_query& query,
@@ -146,7 +147,7 @@
 void add_report_errors(const choice_query& query, std::vector<candidate>& all, time_point now)
 {
     for (auto& it : all) {
-        it.in_flight = std::max(it.in_flight + report_error(query, *it.target, now), 0.0);
+        it.in_flight = std::max(it.in_flight + report_error(query, it, now), 0.0);
     }
 }
 
