--- a/include/endivelatch/traffic/target_choice.hpp
+++ b/include/endivelatch/traffic/target_choice.hpp
@@ -28,7 +28,8 @@
     bool may_wait = false;
     /// Share of what a plain target may hold that is left to more urgent requests.
     double reserved_share = 0;
-    work_estimate work; ///< Of the pool's targets.
+    work_estimate work;  ///< Of the pool's targets.
+    machine_speed speed; ///< Of the pool's targets.
 };
 
 /// The selected target and the estimates behind the selection.
@@ -39,6 +40,7 @@
     double cost_ms = 0;               ///< Expected time to the first token, or to a free slot.
     std::uint32_t prefill_tokens = 0; ///< Prompt tokens that are probably not cached at the target.
     duration wait{};                  ///< Expected queueing time before the prefill starts.
+    double slowdown = 1;              ///< Expected time of work, relative to the usual time.
     bool is_home = false;             ///< Highest rendezvous weight for the prompt.
     /// Target that probably caches shared parts that the selected target does not.
     std::optional<endpoint> fetch_from;
@@ -69,6 +71,9 @@
 inline constexpr double own_count_weight = 1;
 /// Cost of a target in another failure domain, in ms: round trip and transfer of the body.
 inline constexpr double cross_domain_ms = 4;
+/// Number of targets of a plain service among which a request chooses if their speeds change. With
+/// two, a target that many routers consider fast still gets at most about twice its part.
+inline constexpr std::size_t spread_choices = 2;
 /// Requests that may queue at a plain target, as a share of its slots.
 inline constexpr double service_queue_share = 1.0;
 /// Largest random error of a load report, relative to the requests that the target holds.
--- a/include/endivelatch/traffic/traffic_router.hpp
+++ b/include/endivelatch/traffic/traffic_router.hpp
@@ -5,6 +5,7 @@
 #include "endivelatch/traffic/crash_evidence.hpp"
 #include "endivelatch/traffic/event_counter.hpp"
 #include "endivelatch/traffic/event_splitter.hpp"
+#include "endivelatch/traffic/organisation_usage.hpp"
 #include "endivelatch/traffic/target_choice.hpp"
 #include "endivelatch/traffic/traffic_event.hpp"
 #include "endivelatch/traffic/waiting_queue.hpp"
@@ -28,7 +29,10 @@
     double cold_overage = 1;
     double cold_slack = 0;
     bool reads_evacuations = false; ///< `evacuations_changed` follows, also if there are none.
-    bool waits_for_room = false;    ///< Requests wait while no target has room for them.
+    /// Bytes of plain answers that may be buffered until complete, over all requests; zero for no
+    /// bound.
+    std::size_t buffered_answers = 0;
+    bool waits_for_room = false; ///< Requests wait while no target has room for them.
 };
 
 /// Routes the requests of an entry router: checks route and API key, selects targets, retries, and
@@ -62,6 +66,10 @@
     /// Returns the evidence of prompt parts that crash targets.
     crash_evidence& crashes() { return crashes_; }
 
+    /// Returns what to tell another router of the use of pools by organisations, of one pool after
+    /// the other.
+    usage_report next_usage_report(time_point now);
+
     /// Returns the metrics of this router.
     counters& metrics() { return metrics_; }
 
@@ -118,6 +126,8 @@
     /// Interval at which the room for waiting requests is checked besides the ends of this router's
     /// own attempts: load reports and the ends of obstacles may show room at any time.
     static constexpr duration waiting_check_interval{10'000};
+    /// The interval doubles up to this one while no waiting request finds room.
+    static constexpr duration max_waiting_check_interval{40'000};
     /// Memory of a waiting request besides its body, in bytes.
     static constexpr std::size_t waiting_overhead = 4'096;
     /// Share of what a plain target may hold that a request leaves to more urgent ones, for each
@@ -129,6 +139,8 @@
     /// its objective. With a much larger share, nearly all room goes to callers that were refused
     /// once while an overload lasts, and hardly anybody is served at the first try.
     static constexpr double return_advance_share = 0.02;
+    /// Requests of a route from which the time that its callers usually state is known.
+    static constexpr std::uint64_t min_profile_samples = 20;
     /// Share of the time that a caller has left within which it returns after a refusal.
     static constexpr double return_share = 1.0 / 3;
 
@@ -175,8 +187,8 @@
 
     /// What callers of a route usually ask for.
     struct route_profile {
-        duration timeout{};                      ///< That callers state at their first try.
-        std::optional<quantile_estimate> tokens; ///< Exceeded by the largest tenth.
+        std::optional<quantile_estimate> timeout_ms; ///< Median that callers state.
+        std::optional<quantile_estimate> tokens;     ///< Exceeded by the largest tenth.
     };
 
     /// A request that arrived before configuration and targets were loaded.
@@ -204,6 +216,7 @@
     void on(const failures_received& e);
     void on(const limits_received& e);
     void on(const crash_news_received& e);
+    void on(const usage_received& e);
     void on(stop_announced& e);
     void on(const exit_announced& e);
     void on(timer_due& e);
@@ -247,12 +260,15 @@
     // Requests that wait for room, in traffic_waiting.cpp.
     bool waits_for_room(const pool_id& pool) const;
     void record_arrival(exchange& it);
+    void record_service(const exchange& it);
+    double work_ms(const exchange& it);
+    void check_waiting(const pool_id& pool);
     void record_profile(exchange& it);
     bool wait_for_room(exchange_number number, exchange& it, std::string_view reason);
     bool can_room_come_in_time(const exchange& it, time_point latest) const;
     time_point latest_start(const exchange& it);
     void serve_waiting();
-    void serve_waiting(waiting_queue& queue);
+    bool serve_waiting(waiting_queue& queue);
     void refuse_waiting(waiting_queue& queue);
     void end_wait(exchange_number number, exchange& it, std::string_view outcome);
     double reserved_share(const exchange& it);
@@ -266,6 +282,8 @@
     bool may_have_crashed_targets(const exchange& it) const;
 
     // Statements of targets about themselves, in traffic_statements.cpp.
+    void record_load(target_state& target, std::uint32_t in_flight, std::optional<double> slowdown,
+                     time_point reported_at);
     void record_statements(target_state& target, const target_answer& answer);
     void record_limit(target_state& target, const target_answer& answer);
     void apply_limit(target_state& target, std::optional<request_rate> limit, time_point stated_at,
@@ -279,6 +297,7 @@
     void handle_refusal(exchange_number number, exchange& it, const target_answer& answer);
     void handle_failure(exchange_number number, exchange& it, target_answer&& answer);
     void handle_body_bytes(exchange_number number, exchange& it, std::string&& bytes);
+    std::size_t buffer_limit() const;
     void handle_events(exchange_number number, exchange& it, std::string_view bytes);
     void end_faulty_stream(exchange_number number, exchange& it, std::string_view reason);
     static bool is_cut_stream(const exchange& it);
@@ -310,12 +329,13 @@
     std::set<std::pair<time_point, exchange_number>> timers_;
     std::map<pool_id, retry_budget> budgets_;
     std::map<pool_id, work_estimate> work_;
+    std::map<pool_id, machine_speed> speeds_; ///< Of pools whose targets report slowdowns.
     std::map<pool_id, waiting_queue> waiting_;
     time_point check_waiting_at_{};
-    /// Pools whose targets state how long work takes on their machines now. The room there changes
-    /// within the time that a request can wait.
-    std::set<pool_id> varying_pools_;
+    duration check_interval_{waiting_check_interval};
     std::unordered_map<std::string, route_profile> profiles_; ///< By route, of the configuration.
+    std::map<pool_id, organisation_usage> usages_;
+    pool_id last_reported_usage_;
     crash_evidence crashes_;
     counters metrics_;
     std::optional<stop_announced> stop_;
--- a/src/traffic/traffic_attempts.cpp
+++ b/src/traffic/traffic_attempts.cpp
@@ -79,6 +79,9 @@
     query.load_bound = settings_.load_bound;
     query.tried = &it.tried;
     query.work = work_[it.pool];
+    if (const auto speed = speeds_.find(it.pool); speed != speeds_.end()) {
+        query.speed = speed->second;
+    }
     query.may_wait = it.may_have_run == 0 && waits_for_room(it.pool);
     query.reserved_share = query.may_wait ? reserved_share(it) : 0;
     return query;
@@ -93,17 +96,20 @@
 
 duration traffic_router::retry_after_for(no_target_reason reason, const exchange& it) const
 {
-    auto shortest = full_retry_after;
-    if (reason == no_target_reason::all_late) {
-        shortest = late_retry_after(it);
-    }
-    else if (reason == no_target_reason::all_decline) {
-        shortest = decline_retry_after(it);
-    }
-    else if (reason == no_target_reason::all_evacuated) {
-        shortest = evacuated_retry_after(it);
+    switch (reason) {
+    case no_target_reason::all_evacuated:
+        return evacuated_retry_after(it);
+    case no_target_reason::all_late:
+        return spread_retry_after(late_retry_after(it), it);
+    case no_target_reason::all_decline:
+        return spread_retry_after(decline_retry_after(it), it);
+    case no_target_reason::none_registered:
+    case no_target_reason::all_tried:
+    case no_target_reason::all_full:
+    case no_target_reason::all_busy:
+        break;
     }
-    return spread_retry_after(shortest, it);
+    return spread_retry_after(full_retry_after, it);
 }
 
 /// Returns the time until this router may send to one of the targets. It differs between routers.
@@ -138,7 +144,7 @@
     it.running = running;
     it.tried.insert(registration.id);
     if (it.is_counted && it.sends == 0) {
-        waiting_[it.pool].shares().record_service(it.group, now_);
+        record_service(it);
     }
     ++it.sends;
     ++it.may_have_run;
@@ -157,6 +163,7 @@
             .add("wait_ms", chosen.wait.count() / 1'000)
             .add("cost_ms", with_one_decimal(chosen.cost_ms))
             .add("load_age_ms", age ? age->count() / 1'000 : -1)
+            .add("slowdown", with_one_decimal(chosen.slowdown))
             .add("config", configuration_->version().value())
             .add("revision", targets_revision_));
     target.add_request(running.sent);
@@ -201,7 +208,7 @@
         if (outcome == attempt_outcome::failed || outcome == attempt_outcome::unreachable) {
             effects_.emplace_back(share_failure{target->key()});
         }
-        check_waiting_at_ = now_; // The target may have room now.
+        check_waiting(it.pool); // The target may have room now.
         if (target->is_ejected(now_) && !was_ejected) {
             metrics_.add("ejections");
             log(log_event{"target_ejected"}.add("target", it.running->target));
--- a/src/traffic/traffic_router.cpp
+++ b/src/traffic/traffic_router.cpp
@@ -43,12 +43,25 @@
 {
     // In the order of the variant.
     constexpr std::array<const char*, std::variant_size_v<traffic_event>> names{
-        "request_arrived",       "caller_disconnected", "attempt_broken",
-        "answer_begun",          "answer_bytes",        "answer_finished",
-        "configuration_changed", "targets_changed",     "evacuations_changed",
-        "fleet_changed",         "routers_found",       "loads_received",
-        "failures_received",     "limits_received",     "crash_news_received",
-        "stop_announced",        "exit_announced",      "timer_due"};
+        "request_arrived",
+        "caller_disconnected",
+        "attempt_broken",
+        "answer_begun",
+        "answer_bytes",
+        "answer_finished",
+        "configuration_changed",
+        "targets_changed",
+        "evacuations_changed",
+        "fleet_changed",
+        "routers_found",
+        "loads_received",
+        "failures_received",
+        "limits_received",
+        "crash_news_received",
+        "usage_received",
+        "stop_announced",
+        "exit_announced",
+        "timer_due"};
     return names.at(event.index());
 }
 
@@ -80,15 +93,15 @@
         next = std::min(next.value_or(early_requests_.front().refuse_at),
                         early_requests_.front().refuse_at);
     }
+    if (evacuations_due_at_ && awaits_evacuations()) {
+        next = std::min(next.value_or(*evacuations_due_at_), *evacuations_due_at_);
+    }
     for (const auto& [pool, queue] : waiting_) {
         if (const auto expiry = queue.next_expiry()) {
             const auto check_at = std::min(*expiry, check_waiting_at_);
             next = std::min(next.value_or(check_at), check_at);
         }
     }
-    if (evacuations_due_at_ && awaits_evacuations()) {
-        next = std::min(next.value_or(*evacuations_due_at_), *evacuations_due_at_);
-    }
     return next;
 }
 
@@ -100,11 +113,16 @@
                      labels);
         metrics_.set("service_time_us", std::llround(work.service_time_ms() * 1'000), labels);
     }
+    metrics_.set("cold_targets", static_cast<std::int64_t>(targets_.cold(now_).size()));
+    for (const auto& [pool, speed] : speeds_) {
+        const auto labels = "pool=\"" + pool.str() + '"';
+        metrics_.set("mean_slowdown_percent", std::llround(speed.mean() * 100), labels);
+        metrics_.set("slowdown_persistence_ms", speed.persistence().count() / 1'000, labels);
+    }
     for (const auto& [pool, queue] : waiting_) {
         metrics_.set("requests_waiting", static_cast<std::int64_t>(queue.size()),
                      "pool=\"" + pool.str() + '"');
     }
-    metrics_.set("cold_targets", static_cast<std::int64_t>(targets_.cold(now_).size()));
 }
 
 void traffic_router::on(request_arrived& e)
@@ -170,11 +188,8 @@
     if (auto* target = target_of(state); target != nullptr && e.answer.load) {
         const auto in_flight = e.answer.load->running + e.answer.load->waiting;
         crashes_.record_sign_of_life(target->key(), now_);
-        target->update_load(in_flight, now_);
-        if (e.answer.load->slowdown) {
-            varying_pools_.insert(state.pool);
-        }
-        effects_.emplace_back(share_load{target->key(), in_flight});
+        record_load(*target, in_flight, e.answer.load->slowdown, now_);
+        effects_.emplace_back(share_load{target->key(), in_flight, e.answer.load->slowdown});
     }
     if (!e.answer.answered_attempt.empty() && e.answer.answered_attempt != state.request->id) {
         metrics_.add("answers_of_other_requests");
@@ -301,7 +316,7 @@
 {
     for (const auto& it : e.loads) {
         if (auto* target = targets_.find(it.target)) {
-            target->update_load(it.in_flight, it.reported_at);
+            record_load(*target, it.in_flight, it.slowdown, it.reported_at);
             crashes_.record_sign_of_life(it.target, it.reported_at);
         }
     }
--- a/tests/traffic/router_waiting_test.cpp
+++ b/tests/traffic/router_waiting_test.cpp
@@ -23,11 +23,11 @@
     }
 
     /// Dispatches a report by another router that each target holds the given number of requests.
-    void report_load(std::uint32_t in_flight)
+    void report_load(std::uint32_t in_flight, std::optional<double> slowdown = {})
     {
         loads_received loads;
         for (int n = 1; n <= 3; ++n) {
-            loads.loads.push_back({key_of(make_target(n).id), in_flight, clock.now()});
+            loads.loads.push_back({key_of(make_target(n).id), in_flight, clock.now(), slowdown});
         }
         dispatch(std::move(loads));
     }
@@ -200,16 +200,52 @@
 TEST_F(waiting_fixture, requests_wait_for_targets_that_state_the_speed_of_their_machines)
 {
     start(false);
-    arrive("safe");
-    auto answer = success();
-    answer.load = target_load{1, 0, 6, 1.0};
-    dispatch(answer_begun{started(), answer});
+    report_load(1, 1.0);
     clock.advance(1ms);
-    report_load(busy);
+    report_load(busy, 1.5);
     arrive("safe");
     EXPECT_EQ(find<start_attempt>(), nullptr);
     EXPECT_EQ(router.waiting(), 1U);
 }
 
+// Load: a caller with a deadline far beyond those of the others. They are not taken for callers
+// that come back, which would have a better place.
+TEST_F(waiting_fixture, one_long_deadline_does_not_make_others_look_as_if_they_came_back)
+{
+    for (std::uint64_t n = 0; n < traffic_router::min_profile_samples; ++n) {
+        arrive("safe", test_timeout);
+        dispatch(caller_disconnected{exchange_number{last_number}});
+    }
+    report_load(busy);
+    const auto long_one = arrive("safe", 60s);
+    const auto usual = arrive("safe", test_timeout);
+    clock.advance(1ms);
+    const auto returned = arrive("safe", test_timeout - 400ms);
+    clock.advance(20ms);
+    report_load(0);
+    std::vector<exchange_number> order;
+    for (const auto& it : effects) {
+        if (const auto* attempt = std::get_if<start_attempt>(&it)) {
+            order.push_back(attempt->key.exchange);
+        }
+    }
+    EXPECT_EQ(order, (std::vector{returned, long_one, usual}));
+}
+
+// Load: targets that refuse at once. Waits do not add attempts beyond the bound.
+TEST_F(waiting_fixture, waits_do_not_add_attempts)
+{
+    arrive("resumable");
+    std::uint32_t sends = 0;
+    for (const auto end = clock.now() + test_timeout; clock.now() < end; advance(5ms)) {
+        if (const auto* attempt = find<start_attempt>()) {
+            ++sends;
+            dispatch(answer_begun{attempt->key, not_run()});
+        }
+    }
+    EXPECT_LE(sends, traffic_router::max_sends);
+    EXPECT_EQ(router.active(), 0U);
+}
+
 } // namespace
 } // namespace endivelatch
