--- a/src/traffic/waiting_queue.cpp
+++ b/src/traffic/waiting_queue.cpp
@@ -60,11 +60,8 @@
     while (!by_latest_start_.empty() && by_latest_start_.begin()->first <= now) {
         refuse(by_latest_start_.begin()->second);
     }
-    const auto order = groups(now);
-    for (auto group = order.rbegin(); group != order.rend(); ++group) {
-        while (requests_.contains(*group) && (size() > max_requests || bytes_ > max_bytes)) {
-            refuse(requests_.at(*group).rbegin()->number);
-        }
+    while (size() > max_requests || bytes_ > max_bytes) {
+        refuse(requests_.at(groups(now).back()).rbegin()->number);
     }
     return refused;
 }
