--- a/tests/traffic/yield_order_test.cpp
+++ b/tests/traffic/yield_order_test.cpp
@@ -299,7 +299,7 @@
                     "refused late\n",
                     load_factor);
         const auto run = [&](const char* name, auto order) {
-            const auto outcomes = replay(kinds, load, slots, std::move(order));
+            auto outcomes = replay(kinds, load, slots, std::move(order));
             print(name, outcomes);
             return outcomes;
         };
