--- a/include/endivelatch/traffic/traffic_router.hpp
+++ b/include/endivelatch/traffic/traffic_router.hpp
@@ -126,6 +126,8 @@
     /// Interval at which the room for waiting requests is checked besides the ends of this router's
     /// own attempts: load reports and the ends of obstacles may show room at any time.
     static constexpr duration waiting_check_interval{10'000};
+    /// The interval doubles up to this one while no waiting request finds room.
+    static constexpr duration max_waiting_check_interval{40'000};
     /// Memory of a waiting request besides its body, in bytes.
     static constexpr std::size_t waiting_overhead = 4'096;
     /// Share of what a plain target may hold that a request leaves to more urgent ones, for each
@@ -137,6 +139,8 @@
     /// its objective. With a much larger share, nearly all room goes to callers that were refused
     /// once while an overload lasts, and hardly anybody is served at the first try.
     static constexpr double return_advance_share = 0.02;
+    /// Requests of a route from which the time that its callers usually state is known.
+    static constexpr std::uint64_t min_profile_samples = 20;
     /// Share of the time that a caller has left within which it returns after a refusal.
     static constexpr double return_share = 1.0 / 3;
 
@@ -183,8 +187,8 @@
 
     /// What callers of a route usually ask for.
     struct route_profile {
-        duration timeout{};                      ///< That callers state at their first try.
-        std::optional<quantile_estimate> tokens; ///< Exceeded by the largest tenth.
+        std::optional<quantile_estimate> timeout_ms; ///< Median that callers state.
+        std::optional<quantile_estimate> tokens;     ///< Exceeded by the largest tenth.
     };
 
     /// A request that arrived before configuration and targets were loaded.
@@ -256,12 +260,15 @@
     // Requests that wait for room, in traffic_waiting.cpp.
     bool waits_for_room(const pool_id& pool) const;
     void record_arrival(exchange& it);
+    void record_service(const exchange& it);
+    double work_ms(const exchange& it);
+    void check_waiting(const pool_id& pool);
     void record_profile(exchange& it);
     bool wait_for_room(exchange_number number, exchange& it, std::string_view reason);
     bool can_room_come_in_time(const exchange& it, time_point latest) const;
     time_point latest_start(const exchange& it);
     void serve_waiting();
-    void serve_waiting(waiting_queue& queue);
+    bool serve_waiting(waiting_queue& queue);
     void refuse_waiting(waiting_queue& queue);
     void end_wait(exchange_number number, exchange& it, std::string_view outcome);
     double reserved_share(const exchange& it);
@@ -325,6 +332,7 @@
     std::map<pool_id, machine_speed> speeds_; ///< Of pools whose targets report slowdowns.
     std::map<pool_id, waiting_queue> waiting_;
     time_point check_waiting_at_{};
+    duration check_interval_{waiting_check_interval};
     std::unordered_map<std::string, route_profile> profiles_; ///< By route, of the configuration.
     std::map<pool_id, organisation_usage> usages_;
     pool_id last_reported_usage_;
--- a/src/traffic/target_choice.cpp
+++ b/src/traffic/target_choice.cpp
@@ -18,6 +18,7 @@
 struct candidate {
     target_state* target = nullptr;
     double in_flight = 0;
+    double report_error = 0; ///< Random error of `in_flight`, see `add_report_errors`.
     double cost_ms = 0;
     std::uint32_t prefill_tokens = 0;
     duration wait{};
@@ -27,6 +28,9 @@
     bool has_failed = false;       ///< Ejected, or suspected by other routers.
     bool has_shared_parts = false; ///< Probably caches all shared parts of the prompt.
     std::uint64_t rank = 0;        ///< Rendezvous weight.
+
+    /// Returns the requests that the target may hold, with the error of the report.
+    double uncertain_in_flight() const { return std::max(in_flight + report_error, 0.0); }
 };
 
 /// Returns the rendezvous key: the hash of the last shared part, or of the request if there is
@@ -96,20 +100,19 @@
 }
 
 /// Returns a random error of the load report of a plain target, in requests. Its range grows with
-/// the age of the report by what the slots serve in that time. It differs between requests, so that
-/// of many routers with the same old reports only a part sends to a target or holds back. Otherwise
-/// the target would be overloaded and idle by turns.
-double report_error(const choice_query& query, const target_state& target, time_point now)
+/// the age of the report by what the slots serve in that time, and with the load.
+double report_error(const choice_query& query, const candidate& it, time_point now)
 {
-    const auto slots = target.registration().slots;
-    const auto age = target.report_age(now);
-    if (!query.may_wait || query.prompt != nullptr || slots == 0 || !age) {
+    const auto slots = it.target->registration().slots;
+    const auto age = it.target->report_age(now);
+    if (slots == 0 || !age) {
         return 0;
     }
     const auto served = slots * std::chrono::duration<double, std::milli>{*age}.count() /
                         query.work.service_time_ms();
-    const auto range = std::min(served, max_report_error * service_bound(query, slots));
-    return range * (2 * random_source{query.request_hash ^ target.hash()}.fraction() - 1);
+    const auto load = std::min(it.in_flight, service_bound(query, slots));
+    const auto range = std::min(served, max_report_error * load);
+    return range * (2 * random_source{query.request_hash ^ it.target->hash()}.fraction() - 1);
 }
 
 std::vector<candidate> estimate_load(const choice_query& query,
@@ -122,9 +125,7 @@
     for (auto* it : targets) {
         candidate c;
         c.target = it;
-        c.in_flight = std::max(it->own_in_flight() + it->others_in_flight(expected, now) +
-                                   report_error(query, *it, now),
-                               0.0);
+        c.in_flight = it->own_in_flight() + it->others_in_flight(expected, now);
         c.rank = rendezvous_weight(placement, it->hash());
         c.slowdown = query.speed.expected(it->slowdown(), now);
         c.has_failed = it->is_ejected(now);
@@ -134,6 +135,29 @@
     return all;
 }
 
+/// Returns whether the targets of a plain service hold at least as many requests as they have
+/// slots, so that more have to wait anywhere.
+bool is_under_pressure(const choice_query& query, const std::vector<candidate>& all)
+{
+    double in_flight = 0;
+    double slots = 0;
+    for (const auto& it : all) {
+        in_flight += it.in_flight;
+        slots += it.target->registration().slots;
+    }
+    return query.prompt == nullptr && slots > 0 && in_flight >= slots;
+}
+
+/// Adds random errors to the loads. They differ between requests, so that of many routers with the
+/// same old reports only a part sends to a target or holds back. Otherwise a target under pressure
+/// would be overloaded and idle by turns.
+void add_report_errors(const choice_query& query, std::vector<candidate>& all, time_point now)
+{
+    for (auto& it : all) {
+        it.report_error = report_error(query, it, now);
+    }
+}
+
 bool was_tried(const choice_query& query, const candidate& it)
 {
     return query.tried != nullptr && query.tried->contains(it.target->registration().id);
@@ -197,8 +221,9 @@
 {
     const double slots = std::max(it.target->registration().slots, 1U);
     const double own = it.target->own_in_flight();
-    const auto waiting = std::max(0.0, it.in_flight + 1 - slots);
-    const auto occupied = own + others_slot_weight * (it.in_flight - own);
+    const auto in_flight = std::max(it.uncertain_in_flight(), own);
+    const auto waiting = std::max(0.0, in_flight + 1 - slots);
+    const auto occupied = own + others_slot_weight * (in_flight - own);
     const auto service_ms = query.work.service_time_ms();
     it.cost_ms = (waiting + occupied) * service_ms / slots * it.slowdown + domain_cost(query, it) +
                  service_ms * (it.slowdown - query.speed.mean());
@@ -233,7 +258,8 @@
         return false;
     }
     const auto slots = it.target->registration().slots;
-    return query.prompt != nullptr || slots == 0 || it.in_flight < service_bound(query, slots);
+    return query.prompt != nullptr || slots == 0 ||
+           it.uncertain_in_flight() < service_bound(query, slots);
 }
 
 /// Returns whether the request waits in the router rather than at the target, which holds more than
@@ -243,10 +269,10 @@
 {
     const auto slots = it.target->registration().slots;
     const auto age = it.target->report_age(now);
-    if (!query.may_wait || query.prompt != nullptr || slots == 0 || it.has_failed || !age) {
+    if (slots == 0 || it.has_failed || !age) {
         return false;
     }
-    return *age < max_held_report_age && it.in_flight >= service_bound(query, slots);
+    return *age < max_held_report_age && it.uncertain_in_flight() >= service_bound(query, slots);
 }
 
 /// Expected time of the first event, relative to the objective.
@@ -433,6 +459,10 @@
                                                : no_target_reason::none_registered;
     }
     auto all = estimate_load(query, targets, now);
+    const bool may_hold_back = query.may_wait && is_under_pressure(query, all);
+    if (may_hold_back) {
+        add_report_errors(query, all, now);
+    }
     const auto mean = mean_in_flight(all, now);
     mark_homes(query, all, now);
 
@@ -451,7 +481,7 @@
         if (is_below_bound(query, it, mean, now)) {
             eligible.push_back(&it);
         }
-        else if (!it.target->obstacle(now) && is_held_back(query, it, now)) {
+        else if (may_hold_back && !it.target->obstacle(now) && is_held_back(query, it, now)) {
             is_any_held_back = true;
         }
         else if (!it.target->obstacle(now)) {
--- a/src/traffic/traffic_attempts.cpp
+++ b/src/traffic/traffic_attempts.cpp
@@ -16,6 +16,23 @@
     return std::to_string(scaled / 10) + '.' + std::to_string(std::abs(scaled % 10));
 }
 
+/// Returns whether there may be a target within the time that a request can wait.
+bool may_end_soon(no_target_reason reason)
+{
+    switch (reason) {
+    case no_target_reason::all_tried:
+    case no_target_reason::all_full:
+    case no_target_reason::all_decline:
+    case no_target_reason::all_busy:
+        return true;
+    case no_target_reason::none_registered:
+    case no_target_reason::all_late:
+    case no_target_reason::all_evacuated:
+        break;
+    }
+    return false;
+}
+
 } // namespace
 
 void traffic_router::start_next_attempt(exchange_number number, exchange& it)
@@ -36,10 +53,7 @@
         send_attempt(number, it, std::get<chosen_target>(result));
         return;
     }
-    const bool may_have_room_soon = *reason != no_target_reason::none_registered &&
-                                    *reason != no_target_reason::all_evacuated &&
-                                    *reason != no_target_reason::all_late;
-    if (may_have_room_soon && wait_for_room(number, it, to_string(*reason))) {
+    if (may_end_soon(*reason) && wait_for_room(number, it, to_string(*reason))) {
         return;
     }
     log(log_event{"no_target"}
@@ -82,17 +96,20 @@
 
 duration traffic_router::retry_after_for(no_target_reason reason, const exchange& it) const
 {
-    if (reason == no_target_reason::all_evacuated) {
+    switch (reason) {
+    case no_target_reason::all_evacuated:
         return evacuated_retry_after(it);
+    case no_target_reason::all_late:
+        return spread_retry_after(late_retry_after(it), it);
+    case no_target_reason::all_decline:
+        return spread_retry_after(decline_retry_after(it), it);
+    case no_target_reason::none_registered:
+    case no_target_reason::all_tried:
+    case no_target_reason::all_full:
+    case no_target_reason::all_busy:
+        break;
     }
-    auto shortest = full_retry_after;
-    if (reason == no_target_reason::all_late) {
-        shortest = late_retry_after(it);
-    }
-    else if (reason == no_target_reason::all_decline) {
-        shortest = decline_retry_after(it);
-    }
-    return spread_retry_after(shortest, it);
+    return spread_retry_after(full_retry_after, it);
 }
 
 /// Returns the time until this router may send to one of the targets. It differs between routers.
@@ -127,7 +144,7 @@
     it.running = running;
     it.tried.insert(registration.id);
     if (it.is_counted && it.sends == 0) {
-        waiting_[it.pool].shares().record_service(it.group, now_);
+        record_service(it);
     }
     ++it.sends;
     ++it.may_have_run;
@@ -191,7 +208,7 @@
         if (outcome == attempt_outcome::failed || outcome == attempt_outcome::unreachable) {
             effects_.emplace_back(share_failure{target->key()});
         }
-        check_waiting_at_ = now_; // The target may have room now.
+        check_waiting(it.pool); // The target may have room now.
         if (target->is_ejected(now_) && !was_ejected) {
             metrics_.add("ejections");
             log(log_event{"target_ejected"}.add("target", it.running->target));
--- a/src/traffic/traffic_waiting.cpp
+++ b/src/traffic/traffic_waiting.cpp
@@ -34,10 +34,11 @@
     return n;
 }
 
-/// Returns whether requests to the pool wait for room.
-bool traffic_router::waits_for_room(const pool_id&) const
+/// Returns whether requests to the pool wait for room. Where targets state how long work takes on
+/// their machines now, the room changes within the time that a request can wait.
+bool traffic_router::waits_for_room(const pool_id& pool) const
 {
-    return settings_.waits_for_room;
+    return settings_.waits_for_room || speeds_.contains(pool);
 }
 
 /// Counts a new request among those of its group.
@@ -48,11 +49,39 @@
     }
     record_profile(it);
     it.is_counted = true;
+    if (!it.organisation.empty()) {
+        auto& usage = usages_[it.pool];
+        usage.record_arrival(it.organisation, work_ms(it), now_);
+        it.group.is_excess =
+            usage.is_excess(it.organisation, stable_hash(it.request->id.str()), now_);
+    }
     if (!it.has_returned) {
         waiting_[it.pool].shares().record_arrival(it.group, now_);
     }
 }
 
+/// Records that the request is sent to a target for the first time.
+void traffic_router::record_service(const exchange& it)
+{
+    if (!it.organisation.empty()) {
+        usages_[it.pool].record_service(it.organisation, work_ms(it), now_);
+    }
+    waiting_[it.pool].shares().record_service(it.group, now_);
+}
+
+/// Returns the time that a target needs for the request, without waits. Prompt parts that are
+/// shared may be cached.
+double traffic_router::work_ms(const exchange& it)
+{
+    const auto& work = work_[it.pool];
+    const auto& prompt = it.request->prompt;
+    if (!prompt) {
+        return work.service_time_ms();
+    }
+    const auto own_tokens = prompt->parts.empty() ? prompt->tokens : prompt->parts.back().tokens;
+    return own_tokens / work.prefill_tokens_per_ms();
+}
+
 /// Compares the request with others of its route. A caller that states less time than usual has
 /// used the rest for an earlier try.
 void traffic_router::record_profile(exchange& it)
@@ -60,8 +89,13 @@
     it.group.priority = it.priority;
     auto& usual = profiles_[it.route.name];
     if (const auto timeout = it.request->timeout) {
-        it.has_returned = usual.timeout - *timeout >= full_retry_after;
-        usual.timeout = std::max(usual.timeout, *timeout);
+        const auto timeout_ms = to_ms(*timeout);
+        if (!usual.timeout_ms) {
+            usual.timeout_ms.emplace(timeout_ms, 0.5);
+        }
+        it.has_returned = usual.timeout_ms->samples() >= min_profile_samples &&
+                          usual.timeout_ms->value() - timeout_ms >= to_ms(full_retry_after);
+        usual.timeout_ms->add(timeout_ms);
     }
     if (it.request->prompt) {
         const auto tokens = static_cast<double>(total_tokens(*it.request->prompt));
@@ -75,17 +109,12 @@
 }
 
 /// Returns the latest time at which the request can be sent and still be in time. Plain targets
-/// hold requests for `on_time_share` of their objective; prompt parts that are shared may be
-/// cached.
+/// hold requests for `on_time_share` of their objective.
 time_point traffic_router::latest_start(const exchange& it)
 {
-    const auto& work = work_[it.pool];
-    auto needed_ms =
-        std::max(work.service_time_ms(), to_ms(it.route.latency_objective) * on_time_share);
-    if (const auto& prompt = it.request->prompt) {
-        const auto own_tokens =
-            prompt->parts.empty() ? prompt->tokens : prompt->parts.back().tokens;
-        needed_ms = own_tokens / work.prefill_tokens_per_ms();
+    auto needed_ms = work_ms(it);
+    if (!it.request->prompt) {
+        needed_ms = std::max(needed_ms, to_ms(it.route.latency_objective) * on_time_share);
     }
     const auto objective =
         std::chrono::duration_cast<duration>(it.route.latency_objective * tight_share);
@@ -141,20 +170,31 @@
     metrics_.add("waits", 1, "reason=\"" + std::string{reason} + '"');
     queue.add(request);
     if (queue.size() == 1) {
-        check_waiting_at_ = now_ + waiting_check_interval;
+        check_interval_ = waiting_check_interval;
+        check_waiting_at_ = now_ + check_interval_;
     }
     refuse_waiting(queue);
     return true;
 }
 
+/// Lets the next event check whether there is room for waiting requests of the pool.
+void traffic_router::check_waiting(const pool_id& pool)
+{
+    const auto it = waiting_.find(pool);
+    if (it != waiting_.end() && !it->second.empty()) {
+        check_waiting_at_ = now_;
+    }
+}
+
 /// Sends the requests for which targets have room, if it is time to check.
 void traffic_router::serve_waiting()
 {
     const bool is_due = now_ >= check_waiting_at_;
     bool is_any_waiting = false;
+    bool is_any_sent = false;
     for (auto& [pool, queue] : waiting_) {
-        if (is_due) {
-            serve_waiting(queue);
+        if (is_due && serve_waiting(queue)) {
+            is_any_sent = true;
         }
         else if (const auto expiry = queue.next_expiry(); expiry && *expiry <= now_) {
             refuse_waiting(queue);
@@ -162,17 +202,17 @@
         is_any_waiting = is_any_waiting || !queue.empty();
     }
     if (is_due && is_any_waiting) {
-        check_waiting_at_ = now_ + waiting_check_interval;
+        check_interval_ = is_any_sent ? waiting_check_interval
+                                      : std::min(check_interval_ * 2, max_waiting_check_interval);
+        check_waiting_at_ = now_ + check_interval_;
     }
 }
 
 /// Sends requests of the pool in their order. A group ends at its first request without room, so
-/// that equal requests keep their order.
-void traffic_router::serve_waiting(waiting_queue& queue)
+/// that equal requests keep their order. Returns whether any was sent.
+bool traffic_router::serve_waiting(waiting_queue& queue)
 {
-    if (queue.empty()) {
-        return;
-    }
+    bool is_any_sent = false;
     for (const auto& group : queue.groups(now_)) {
         while (const auto number = queue.first(group)) {
             auto& it = exchanges_.at(*number);
@@ -187,9 +227,11 @@
             queue.release(*number, now_);
             end_wait(*number, it, "sent");
             send_attempt(*number, it, *chosen);
+            is_any_sent = true;
         }
     }
     refuse_waiting(queue);
+    return is_any_sent;
 }
 
 /// Refuses the requests that yield now.
