--- a/include/endivelatch/entry/entry_process_life.hpp
+++ b/include/endivelatch/entry/entry_process_life.hpp
@@ -183,7 +183,8 @@
             bounds.cold_overage,
             bounds.cold_slack,
             bounds.evacuation_time.has_value(),
-            shares_.buffered_answers};
+            shares_.buffered_answers,
+            bounds.waits_for_room};
 }
 
 template <entry_protocol Protocol>
@@ -266,7 +267,7 @@
     if (!copy.mirror().is_connected()) {
         // Another router may hold a newer copy.
         const auto status =
-            query->from_watcher ? copy_answer::not_watching : copy_answer::nothing_newer;
+            query->from_watcher ? copy_answer::store_lost : copy_answer::nothing_newer;
         peer_server_.respond(id, status, {}, {});
         return;
     }
--- a/include/endivelatch/traffic/target_state.hpp
+++ b/include/endivelatch/traffic/target_state.hpp
@@ -28,7 +28,8 @@
     std::uint32_t slots = 0;
     bool is_leaving = false; ///< Drains: finishes its requests and accepts no new ones.
     incarnation started;     ///< Changes with each start of the target; the id may stay.
-    duration cold_left{};    ///< Time for which the target stated to be cold still; zero if warm.
+    /// Time for which the target stated to be cold still, zero if warm; nothing if it states none.
+    std::optional<duration> cold_left;
     std::uint64_t revision = 0; ///< Changes with each new version of the registration.
 
     friend bool operator==(const registered_target&, const registered_target&) = default;
--- a/src/traffic/traffic_usage.cpp
+++ b/src/traffic/traffic_usage.cpp
@@ -14,9 +14,10 @@
 
 usage_report traffic_router::next_usage_report(time_point now)
 {
-    if (usages_.empty()) {
+    if (usages_.empty() || now - usage_reported_at_ < usage_report_interval) {
         return {};
     }
+    usage_reported_at_ = now;
     auto next = usages_.upper_bound(last_reported_usage_);
     next = next == usages_.end() ? usages_.begin() : next;
     last_reported_usage_ = next->first;
--- a/tests/traffic/organisation_usage_test.cpp
+++ b/tests/traffic/organisation_usage_test.cpp
@@ -255,14 +255,19 @@
     for (std::size_t n = 0; n < 40; ++n) {
         usage.record_arrival(organisation(n), static_cast<double>(n + 1), clock.now());
     }
-    clock.advance(seconds{1});
+    EXPECT_TRUE(usage.report(clock.now()).empty());
+    clock.advance(organisation_usage::min_report_time);
     const auto report = usage.report(clock.now());
     ASSERT_EQ(report.size(), max_reported_uses);
     EXPECT_EQ(report.front().organisation, key_of(organisation(39)));
     organisation_usage other;
     other.merge(report, clock.now());
-    EXPECT_EQ(other.report(clock.now()).front().organisation, key_of(organisation(39)));
-    EXPECT_NEAR(other.report(clock.now()).front().asked, report.front().asked / 2, 0.01);
+    clock.advance(organisation_usage::min_report_time);
+    const auto mixed = other.report(clock.now());
+    ASSERT_EQ(mixed.size(), max_reported_uses);
+    EXPECT_EQ(mixed.front().organisation, key_of(organisation(39)));
+    const auto kept = std::exp(-2.0); // Two times `mean_time` without requests of its own.
+    EXPECT_NEAR(mixed.front().asked, report.front().asked / 2 * kept, 0.01);
 }
 
 } // namespace
