--- a/include/endivelatch/traffic/organisation_usage.hpp
+++ b/include/endivelatch/traffic/organisation_usage.hpp
@@ -36,7 +36,8 @@
     /// Returns whether a request belongs to the excess of its organisation.
     bool is_excess(const organisation_id& organisation, std::uint64_t request_hash, time_point now);
 
-    /// Returns what to tell other routers: the organisations that ask for most.
+    /// Returns what to tell other routers: the organisations that ask for most. Nothing within
+    /// `min_report_time` of the first use, as the estimate is too low then.
     std::vector<organisation_use> report(time_point now);
 
     /// Mixes in what another router told.
@@ -53,6 +54,8 @@
     static constexpr duration min_usual_time{5'000'000};
     /// There is too little room if less than this share of the work is served.
     static constexpr double served_share = 0.95;
+    /// Time after which the estimate is told to other routers.
+    static constexpr duration min_report_time{3'000'000};
     /// Weight of another router's report in the own mean.
     static constexpr double merge_weight = 0.5;
     /// Maximum number of organisations tracked.
@@ -79,6 +82,7 @@
     bool knows_usual() const { return usual_learnt_for_ >= min_usual_time; }
 
     std::map<organisation_key, record> records_;
+    std::optional<time_point> started_at_;
     std::optional<time_point> aged_at_;
     std::optional<time_point> level_at_;
     std::optional<double> level_; ///< Work per weight that is fair; nothing if all is served.
--- a/include/endivelatch/traffic/traffic_router.hpp
+++ b/include/endivelatch/traffic/traffic_router.hpp
@@ -76,6 +76,8 @@
     /// Sets the gauges of the work estimates of all pools and of cold targets.
     void update_work_gauges();
 
+    /// Interval between reports of the use of pools. Each is sent to two routers.
+    static constexpr duration usage_report_interval{150'000};
     /// Maximum attempts per request, including those that targets reported as not run.
     static constexpr std::uint32_t max_sends = 4;
     /// Fraction of the retry budget that is used. Routers count in slots of one second, so a window
@@ -336,6 +338,7 @@
     std::unordered_map<std::string, route_profile> profiles_; ///< By route, of the configuration.
     std::map<pool_id, organisation_usage> usages_;
     pool_id last_reported_usage_;
+    time_point usage_reported_at_{};
     crash_evidence crashes_;
     counters metrics_;
     std::optional<stop_announced> stop_;
--- a/src/traffic/organisation_usage.cpp
+++ b/src/traffic/organisation_usage.cpp
@@ -60,6 +60,7 @@
 
 void organisation_usage::age(time_point now)
 {
+    started_at_ = started_at_.value_or(now);
     const auto elapsed = now - aged_at_.value_or(now);
     if (aged_at_ && elapsed < min_ageing_time) {
         return;
@@ -149,6 +150,9 @@
 {
     age(now);
     std::vector<organisation_use> uses;
+    if (!started_at_ || now - *started_at_ < min_report_time) {
+        return uses;
+    }
     for (const auto& [organisation, it] : records_) {
         uses.push_back(
             {organisation, static_cast<float>(it.mean.asked), static_cast<float>(it.mean.served)});
@@ -161,21 +165,10 @@
 
 void organisation_usage::merge(const std::vector<organisation_use>& other, time_point now)
 {
-    std::map<organisation_key, organisation_use> told;
     for (const auto& it : other) {
-        told.emplace(it.organisation, it);
-        record_of(it.organisation, now);
-    }
-    // A full report may leave organisations out.
-    const bool is_whole = other.size() < max_reported_uses;
-    for (auto& [organisation, own] : records_) {
-        const auto it = told.find(organisation);
-        if (it == told.end() && !is_whole) {
-            continue;
-        }
-        const auto use = it == told.end() ? organisation_use{} : it->second;
-        own.mean.asked = mix(own.mean.asked, use.asked);
-        own.mean.served = mix(own.mean.served, use.served);
+        auto& mean = record_of(it.organisation, now).mean;
+        mean.asked = mix(mean.asked, it.asked);
+        mean.served = mix(mean.served, it.served);
     }
 }
 
--- a/src/traffic/target_state.cpp
+++ b/src/traffic/target_state.cpp
@@ -11,8 +11,8 @@
     : registration_{std::move(registration)}, hash_{stable_hash(registration_.id.str())},
       key_{key_of(registration_.id)}, known_since_{now}, cold_{hash_}
 {
-    if (registration_.cold_left > duration{}) {
-        cold_.record_statement(registration_.cold_left, now);
+    if (registration_.cold_left) {
+        cold_.record_statement(*registration_.cold_left, now);
     }
 }
 
@@ -26,16 +26,17 @@
         record_start(now);
         return;
     }
-    if (registration.revision != registration_.revision) {
-        cold_.record_statement(registration.cold_left, now);
+    if (registration.cold_left && registration.revision != registration_.revision) {
+        cold_.record_statement(*registration.cold_left, now);
     }
     registration_ = registration;
 }
 
 void target_state::record_start(time_point now)
 {
-    cold_.record_statement(registration_.cold_left, now);
-    if (registration_.cold_left == duration{}) {
+    const auto left = registration_.cold_left.value_or(duration{});
+    cold_.record_statement(left, now);
+    if (left == duration{}) {
         cold_.expect(now, now);
     }
 }
--- a/tests/platform_adapter/objects_test.cpp
+++ b/tests/platform_adapter/objects_test.cpp
@@ -225,7 +225,8 @@
             {"i-7", store_revision{9},
              R"({"Service":"s","Address":"10.0.0.9:80","Zone":"z","State":"ready")" + field + "}"});
     };
-    EXPECT_EQ(value_of(read("")).cold_left, duration{});
+    EXPECT_EQ(value_of(read("")).cold_left, std::nullopt);
+    EXPECT_EQ(value_of(read(R"(,"ColdRemainingMs":0)")).cold_left, duration{});
     EXPECT_EQ(value_of(read("")).revision, 9U);
     EXPECT_EQ(value_of(read(R"(,"ColdRemainingMs":1700)")).cold_left,
               std::chrono::milliseconds{1'700});
--- a/tests/traffic/cold_start_test.cpp
+++ b/tests/traffic/cold_start_test.cpp
@@ -74,6 +74,7 @@
         }
     }
 
+    /// Forgets what was sent.
     void clear()
     {
         for (auto& it : sent_) {
