--- a/include/endivelatch/traffic/machine_speed.hpp
+++ b/include/endivelatch/traffic/machine_speed.hpp
@@ -26,8 +26,8 @@
     /// otherwise the mean. Returns 1 while no report is known.
     double expected(const std::optional<slowdown_report>& last, time_point now) const;
 
-    /// Returns whether the targets' reports differ.
-    bool varies() const { return variance_ > 0; }
+    /// Returns whether the targets' reports differ. A single odd report is forgotten in time.
+    bool varies() const { return variance_ > min_variance; }
 
     /// Returns the mean slowdown of the pool's targets.
     double mean() const { return mean_; }
@@ -38,6 +38,8 @@
 
     /// Number of report pairs from which the persistence is used.
     static constexpr double min_pairs = 20;
+    /// Variance from which the slowdowns differ: a deviation of 3% of the usual time.
+    static constexpr double min_variance = 0.001;
     /// Number of recent pairs that the estimates follow.
     static constexpr double memory_pairs = 2'000;
     /// Longest time between two reports that says something about the persistence.
--- a/include/endivelatch/traffic/target_choice.hpp
+++ b/include/endivelatch/traffic/target_choice.hpp
@@ -35,9 +35,11 @@
 /// The selected target and the estimates behind the selection.
 struct chosen_target {
     target_state* target = nullptr;
-    double in_flight = 0;             ///< Estimated requests in flight, over all routers.
-    double mean_in_flight = 0;        ///< Mean over the targets of the pool.
-    double cost_ms = 0;               ///< Expected time to the first token, or to a free slot.
+    double in_flight = 0;      ///< Estimated requests in flight, over all routers.
+    double mean_in_flight = 0; ///< Mean over the targets of the pool.
+    /// Expected time to the first token, or to a free slot; that of a plain target which is faster
+    /// than the mean of its pool is less by its advantage, and may be negative.
+    double cost_ms = 0;
     std::uint32_t prefill_tokens = 0; ///< Prompt tokens that are probably not cached at the target.
     duration wait{};                  ///< Expected queueing time before the prefill starts.
     double slowdown = 1;              ///< Expected time of work, relative to the usual time.
