--- a/src/mirror/object_mirror.cpp
+++ b/src/mirror/object_mirror.cpp
@@ -195,7 +195,8 @@
     record_response(now);
     mirror_effects effects;
     if (!is_synced_ || !objects_.empty()) {
-        // The response names no revision. The objects were removed after that of the copy.
+        // The response names no revision. The removals of the copy's objects have taken at least
+        // one after that of the copy, so the next one is not above that of the store.
         const store_revision revision{revision_.value() + (objects_.empty() ? 0 : 1)};
         replace_all({}, revision, revision, now);
         effects.emplace_back(mirror_updated{});
