--- a/tests/serve/evacuation_test.cpp
+++ b/tests/serve/evacuation_test.cpp
@@ -58,15 +58,17 @@
         }
     }
 
-    /// Sends requests to each router; returns the numbers of those that ran, by replica.
+    /// Sends `request_count` requests, to each router in turn; returns the numbers of those that
+    /// ran, by replica.
     std::vector<std::size_t> runs_of_new_requests()
     {
         std::vector<std::size_t> runs;
         for (const auto& it : fleet.replicas) {
             runs.push_back(it->runs().size());
         }
-        for (int n = 0; n < 20 * router_count; ++n) {
-            fleet.send_and_wait(n % router_count + 1, "/unsafe/x", "r" + std::to_string(++sent));
+        for (std::size_t n = 0; n < request_count; ++n) {
+            const auto router = static_cast<int>(n % router_count) + 1;
+            fleet.send_and_wait(router, "/unsafe/x", "r" + std::to_string(++sent));
         }
         for (std::size_t n = 0; n < runs.size(); ++n) {
             runs[n] = fleet.replicas[n]->runs().size() - runs[n];
@@ -75,6 +77,7 @@
     }
 
     static constexpr int router_count = 3;
+    static constexpr std::size_t request_count = 60;
     serve_fleet fleet{router_count, serve_fleet::network_path::direct, {.evacuate_ms = 5'000}};
     int sent = 0;
 };
@@ -90,7 +93,7 @@
     fleet.store.put_text("evacuations", zone(1), "{\"x\":}");
     wait_until_all_know(2);
     runs = runs_of_new_requests();
-    EXPECT_EQ(runs, (std::vector<std::size_t>{0, 0, 20 * router_count}));
+    EXPECT_EQ(runs, (std::vector<std::size_t>{0, 0, request_count}));
     evacuate(2);
     wait_until_all_know(3);
     const auto refused = fleet.send_and_wait(1, "/unsafe/x", "refused");
