--- a/review/harness-2/fleet.cpp
+++ b/review/harness-2/fleet.cpp
@@ -82,6 +82,10 @@
       ports_{free_ports(settings.routers * ports_per_router)}
 {
     std::filesystem::create_directories(dir_);
+    if (settings.uses_store_proxy) {
+        store_proxy =
+            std::make_unique<standins::tcp_proxy>(loop, endpoint{"127.0.0.1", 0}, store.address());
+    }
     add_replicas(engines, settings.engines, "engine");
     add_replicas(desks, settings.desks, "desk");
     write_configuration(1);
@@ -137,8 +141,8 @@
         << "\nMaxFds = " << settings_.descriptors
         << "\n[Bounds]\nStableWindowMs = 3000\nDrainMs = 2000\nGraceS = 8\nConfigApplyMs = 2000\n"
         << "RetryBudgetRatio = 0.2\nRetrySlack = 56\nCapFactor = 2\nttl_max_s = 5\n"
-        << "[Platform]\nAddress = \"" << store.address().address << ":" << store.address().port
-        << "\"\nform = \"objects\"\n";
+        << "[Platform]\nAddress = \"127.0.0.1:"
+        << (store_proxy ? store_proxy->port() : store.address().port) << "\"\nform = \"objects\"\n";
     setenv("ENDIVELATCH_BOOT", path.c_str(), 1);
     routers[router] = std::make_unique<failures::child_process>(
         std::vector<std::string>{"target/endivelatch", "serve",
@@ -158,7 +162,7 @@
     return run_until([&] { return readiness(router) == 200; }, limit);
 }
 
-void fleet::write_configuration(int version)
+void fleet::write_configuration(int version, const std::vector<std::string>& keys)
 {
     const auto route = [](const std::string& name, const std::string& type, int attempts,
                           int timeout_ms, int objective_ms, bool resumes) {
@@ -190,7 +194,7 @@
                  {"MaxBodyBytes", 4'194'304},
                  {"HeaderTimeoutMs", 3'000},
                  {"IdleTimeoutMs", 15'000}}},
-               {"Tenants", {{{"Name", "org"}, {"ApiKeys", {"key"}}}}}});
+               {"Tenants", {{{"Name", "org"}, {"ApiKeys", keys}}}}});
 }
 
 outgoing_id fleet::send(int router, const std::string& method, const std::string& path,
--- a/review/harness-2/fleet.hpp
+++ b/review/harness-2/fleet.hpp
@@ -3,6 +3,7 @@
 #include "../../tests/failures/child_process.hpp"
 #include "../../tests/standins/replica_standin.hpp"
 #include "../../tests/standins/store_standin.hpp"
+#include "../../tests/standins/tcp_proxy.hpp"
 
 #include "endivelatch/entry/connection_pool.hpp"
 
@@ -39,6 +40,7 @@
     int slots = 64;
     int status_timeout_ms = 800;
     int stream_timeout_ms = 6'000;
+    bool uses_store_proxy = false; ///< Routers reach the store through a proxy.
 };
 
 /// Returns whether the case runs with its disruption.
@@ -72,8 +74,8 @@
     bool wait_until_ready();
     bool wait_until_ready(int router);
 
-    /// Writes the configuration to the store.
-    void write_configuration(int version);
+    /// Writes the configuration to the store, with the keys of its only tenant.
+    void write_configuration(int version, const std::vector<std::string>& keys = {"key", "old"});
 
     /// Registers a replica in the store, at the address and started `born` ms after its first
     /// start.
@@ -101,6 +103,7 @@
 
     event_loop loop;
     standins::store_standin store{loop};
+    std::unique_ptr<standins::tcp_proxy> store_proxy; ///< Null unless it is used.
     std::vector<std::unique_ptr<standins::replica_standin>> engines;
     std::vector<std::unique_ptr<standins::replica_standin>> desks;
     std::map<int, std::unique_ptr<failures::child_process>> routers;
