Answers with an invalid status line are failures

Evidence, the new tests on: this router took 000 for an interim response and waited for another one, so callers got 504 at the route's timeout (502 expected, at once). 999 and other statuses above 599 were passed on, as were "HTTP/1.1 200OK", "HTTP/1.1 0200" and other major versions. The pool reported the body of such an answer without its head. Cause: neither http_parser nor libcurl checks the status line; what is below 200 counted as interim. Change: one check of the status line (HTTP/1.x, three digits from 100 to 599) in both readers of answers; the scanner finds the end of each head for it. The product's own client no longer reports a response without a final head as whole.

--- a/src/http1/head_check.cpp
+++ b/src/http1/head_check.cpp
@@ -1,6 +1,7 @@
-#include "head_check.hpp"
+#include "endivelatch/http1/head_check.hpp"
 
 #include <algorithm>
+#include <charconv>
 
 namespace endivelatch {
 
@@ -54,4 +55,28 @@
     return false;
 }
 
+std::optional<int> parse_status_line(std::string_view line)
+{
+    constexpr std::string_view version = "HTTP/1.";
+    constexpr std::size_t status_at = version.size() + 2;
+    constexpr std::size_t status_size = 3;
+    constexpr unsigned first_status = 100;
+    constexpr unsigned last_status = 599;
+    const auto is_digit = [](char c) { return c >= '0' && c <= '9'; };
+    if (line.size() < status_at + status_size || !line.starts_with(version) ||
+        !is_digit(line[version.size()]) || line[status_at - 1] != ' ') {
+        return std::nullopt;
+    }
+    const auto digits = line.substr(status_at, status_size);
+    const auto rest = line.substr(status_at + status_size);
+    unsigned status = 0;
+    const auto [end, ec] = std::from_chars(digits.data(), digits.data() + status_size, status);
+    const bool is_number = ec == std::errc{} && end == digits.data() + status_size;
+    if (!is_number || status < first_status || status > last_status ||
+        (!rest.empty() && rest.front() != ' ')) {
+        return std::nullopt;
+    }
+    return static_cast<int>(status);
+}
+
 } // namespace endivelatch
--- a/src/http1/request_reader.cpp
+++ b/src/http1/request_reader.cpp
@@ -1,6 +1,7 @@
 #include "endivelatch/http1/request_reader.hpp"
 
-#include "head_check.hpp"
+#include "endivelatch/http1/head_check.hpp"
+
 #include "header_collector.hpp"
 
 #include <algorithm>
--- a/src/http1/response_reader.cpp
+++ b/src/http1/response_reader.cpp
@@ -1,6 +1,7 @@
 #include "endivelatch/http1/response_reader.hpp"
 
 #include "header_collector.hpp"
+#include "response_head_scanner.hpp"
 
 #include <utility>
 
@@ -11,6 +12,7 @@
 namespace {
 
 constexpr int first_final_status = 200;
+constexpr int switching_protocols = 101;
 
 /// Interim responses before a final one; more are taken for bytes without end.
 constexpr int max_interim_responses = 16;
@@ -35,11 +37,13 @@
     {
         head = {};
         collector = header_collector{head.headers};
+        scanner = {};
         has_head = false;
     }
 
     bool is_interim() const { return state.status_code < first_final_status; }
     void report_head();
+    std::size_t feed_part(std::string_view bytes);
 
     static parser& of(http_parser* p) { return *static_cast<parser*>(p->data); }
     static const http_parser_settings& settings();
@@ -48,6 +52,7 @@
     http_parser state{};
     response_head head;
     header_collector collector{head.headers};
+    response_head_scanner scanner;
     int interim_responses = 0;
     bool to_head_request = false;
     bool has_head = false;
@@ -78,6 +83,9 @@
         s.on_headers_complete = [](http_parser* p) {
             auto& it = of(p);
             it.has_head = true;
+            if (p->status_code == switching_protocols) {
+                return -1; // No request asks for it, and no HTTP follows.
+            }
             if (!it.is_interim()) {
                 it.report_head();
             }
@@ -109,19 +117,29 @@
 
 response_reader::~response_reader() = default;
 
-std::size_t response_reader::feed(std::string_view bytes)
+/// Feeds the rest of a head or, after the head, all bytes. Returns how many were consumed.
+std::size_t response_reader::parser::feed_part(std::string_view bytes)
 {
-    if (parser_->is_complete || parser_->has_failed || bytes.empty()) {
+    const auto part = has_head ? bytes : bytes.substr(0, scanner.scan(bytes));
+    if (scanner.has_failed()) {
+        has_failed = true;
         return 0;
     }
-    const auto n =
-        http_parser_execute(&parser_->state, &parser::settings(), bytes.data(), bytes.size());
-    if (parser_->is_complete) {
+    const auto n = http_parser_execute(&state, &settings(), part.data(), part.size());
+    has_failed = !is_complete && (HTTP_PARSER_ERRNO(&state) != HPE_OK || n < part.size());
+    return n;
+}
+
+std::size_t response_reader::feed(std::string_view bytes)
+{
+    std::size_t taken = 0;
+    while (taken < bytes.size() && !parser_->is_complete && !parser_->has_failed) {
+        taken += parser_->feed_part(bytes.substr(taken));
+    }
+    if (taken > 0 && parser_->is_complete) {
         parser_->callbacks.on_complete();
-        return n;
     }
-    parser_->has_failed = HTTP_PARSER_ERRNO(&parser_->state) != HPE_OK || n < bytes.size();
-    return n;
+    return taken;
 }
 
 void response_reader::end_of_input()
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,8 +1,8 @@
 #include "endivelatch/net/http_client.hpp"
 
+#include "endivelatch/http1/head_check.hpp"
 #include "endivelatch/net/io_watcher.hpp"
 
-#include <charconv>
 #include <mutex>
 #include <utility>
 
@@ -24,6 +24,9 @@
 /// Idle easy handles kept for reuse.
 constexpr std::size_t max_idle_handles = 256;
 
+constexpr int first_final_status = 200;
+constexpr int switching_protocols = 101;
+
 /// Returns `HOST:PORT` of a URL, or the whole text when it has no scheme.
 std::string host_and_port_of(std::string_view url)
 {
@@ -35,18 +38,6 @@
     return std::string{url.substr(0, url.find('/'))};
 }
 
-/// Returns the status of a line such as `HTTP/1.1 200 OK`; zero when it is malformed.
-int parse_status(std::string_view line)
-{
-    const auto space = line.find(' ');
-    if (space == std::string_view::npos) {
-        return 0;
-    }
-    int status = 0;
-    std::from_chars(line.data() + space + 1, line.data() + line.size(), status);
-    return status;
-}
-
 /// Returns the text without leading and trailing white space.
 std::string_view trim(std::string_view text)
 {
@@ -87,6 +78,7 @@
     time_point last_received;
     http_headers headers;
     int status = 0;
+    std::string fault; ///< Why the response is malformed; empty if it is not.
     bool is_head_reported = false;
     bool is_paused = false;
     bool is_cancelled = false;
@@ -147,9 +139,7 @@
         it.last_received = it.client->loop_->now();
         const std::string_view line{text, count};
         if (line.starts_with("HTTP/")) {
-            it.headers.clear();
-            it.status = parse_status(line);
-            return count;
+            return read_status_line(it, trim(line)) ? count : 0;
         }
         const auto colon = line.find(':');
         if (colon != std::string_view::npos) {
@@ -157,12 +147,27 @@
                 {to_lower(trim(line.substr(0, colon))), std::string{trim(line.substr(colon + 1))}});
             return count;
         }
-        if (trim(line).empty() && it.status >= 200) {
+        if (trim(line).empty() && it.status >= first_final_status) {
             report_head(it);
         }
         return it.is_cancelled ? 0 : count;
     }
 
+    /// Starts a head. Returns whether the status line is valid; libcurl accepts any number as a
+    /// status.
+    static bool read_status_line(call_state& it, std::string_view line)
+    {
+        const auto status = parse_status_line(line);
+        // No request asks to switch protocols.
+        if (!status || *status == switching_protocols) {
+            it.fault = "the status line is invalid";
+            return false;
+        }
+        it.headers.clear();
+        it.status = *status;
+        return true;
+    }
+
     static std::size_t on_body(char* text, std::size_t /*size*/, std::size_t count, void* user_data)
     {
         auto& it = *static_cast<call_state*>(user_data);
@@ -381,18 +386,21 @@
         const CURLcode code = msg->data.result;
         call_state* it = nullptr;
         curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, &it);
-        if (code == CURLE_OK) {
-            hooks::report_head(*it);
+        if (code == CURLE_OK && it->is_head_reported) {
             end(*it, call_finished{});
             continue;
         }
+        if (code == CURLE_OK) {
+            it->fault = "the response has no final head";
+        }
         long sent = 0;
         curl_off_t connected_us = 0;
         curl_easy_getinfo(it->handle, CURLINFO_REQUEST_SIZE, &sent);
         curl_easy_getinfo(it->handle, CURLINFO_CONNECT_TIME_T, &connected_us);
         const bool has_sent = sent > 0 || connected_us > 0;
         const auto kind = has_sent ? call_failure_kind::broken : call_failure_kind::not_reached;
-        end(*it, call_failure{kind, has_sent, curl_easy_strerror(code)});
+        auto reason = it->fault.empty() ? std::string{curl_easy_strerror(code)} : it->fault;
+        end(*it, call_failure{kind, has_sent, std::move(reason)});
     }
     if (!sockets_->removed.empty()) {
         loop_->post([this] { sockets_->removed.clear(); });
--- a/tests/entry/connection_pool_test.cpp
+++ b/tests/entry/connection_pool_test.cpp
@@ -270,5 +270,24 @@
     EXPECT_EQ(pool.connections(), 0U);
 }
 
+// A target answered with status 000, which a caller got as its answer. This pool took it for an
+// interim response and waited for another one.
+TEST_F(pool_fixture, an_answer_with_an_invalid_status_line_fails_at_once)
+{
+    for (const std::string line :
+         {"HTTP/1.1 000 X", "HTTP/1.1 099 X", "HTTP/1.1 600 X", "HTTP/1.1 20 X", "HTTP/1.1 0200 X",
+          "HTTP/1.1 2000 X", "HTTP/1.1 200OK", "HTTP/2.0 200 OK"}) {
+        scripted_target target{loop, [&](int, const request_head&) {
+                                   return scripted_target::scripted_response{
+                                       line + "\r\nContent-Length: 2\r\n\r\nok"};
+                               }};
+        const auto& result = exchange(target.address());
+        EXPECT_EQ(result.heads, 0) << line;
+        EXPECT_EQ(result.body, "") << line;
+        EXPECT_FALSE(result.is_complete) << line;
+        EXPECT_EQ(result.failed_stage, attempt_stage::answering) << line;
+    }
+}
+
 } // namespace
 } // namespace endivelatch
--- a/tests/http1/response_reader_test.cpp
+++ b/tests/http1/response_reader_test.cpp
@@ -92,6 +92,55 @@
     EXPECT_EQ(it.completed, 1);
 }
 
+/// Whether a reader reported a head, and the end of the response.
+struct reading {
+    bool has_head = false;
+    bool is_complete = false;
+
+    friend bool operator==(const reading&, const reading&) = default;
+};
+
+/// Reads a response and checks that the result does not depend on how its bytes are split in two.
+reading read(const std::string& bytes)
+{
+    std::optional<reading> first;
+    for (std::size_t n = 0; n < bytes.size(); ++n) {
+        recorder it;
+        it.reader.feed(std::string_view{bytes}.substr(0, n));
+        it.reader.feed(std::string_view{bytes}.substr(n));
+        it.reader.end_of_input();
+        const reading result{it.head.has_value(), it.completed == 1};
+        EXPECT_EQ(first.value_or(result), result) << bytes;
+        first = result;
+    }
+    return first.value_or(reading{});
+}
+
+constexpr reading no_response{};
+constexpr reading whole_response{true, true};
+
+TEST(answer_reader, fails_on_an_invalid_status_line)
+{
+    const std::string rest = "\r\nContent-Length: 2\r\n\r\nok";
+    for (const std::string line :
+         {"HTTP/1.1 000 X", "HTTP/1.1 099 X", "HTTP/1.1 600 X", "HTTP/1.1 999 X", "HTTP/1.1 20 X",
+          "HTTP/1.1 0200 X", "HTTP/1.1 2000 X", "HTTP/1.1 200OK", "HTTP/1.1 2 0 OK",
+          "HTTP/1.1  200 OK", "HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "HTTP/1.10 200 OK"}) {
+        EXPECT_EQ(read(line + rest), no_response) << line;
+    }
+    for (const std::string line : {"HTTP/1.1 200 OK", "HTTP/1.1 200 ", "HTTP/1.1 200",
+                                   "HTTP/1.0 599 \x80", "\r\nHTTP/1.1 200 OK"}) {
+        EXPECT_EQ(read(line + rest), whole_response) << line;
+    }
+}
+
+TEST(answer_reader, fails_on_an_unrequested_change_of_the_protocol)
+{
+    EXPECT_EQ(read("HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n"
+                   "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"),
+              no_response);
+}
+
 TEST(message_writer, removes_hop_by_hop_headers)
 {
     http_headers headers{{"Connection", "close, X-Hop"},
--- /dev/null
+++ b/tests/net/broken_answer_test.cpp
@@ -0,0 +1,76 @@
+#include "loopback.hpp"
+#include "raw_target.hpp"
+
+#include <string>
+#include <string_view>
+
+#include <gtest/gtest.h>
+
+/// Targets in trouble whose answers must not be taken for complete ones.
+namespace endivelatch {
+namespace {
+
+constexpr std::string_view rest_of_answer = "\r\nContent-Type: text/plain\r\nContent-Length: 2\r\n"
+                                            "Connection: close\r\n\r\nok";
+
+struct broken_answer : testing::Test {
+    /// Calls a target and waits for the end of the call.
+    const received_response& call(const raw_target& target, const std::string& body = {})
+    {
+        http_call it;
+        it.method = "POST";
+        it.url = "http://127.0.0.1:" + std::to_string(target.address().port) + "/";
+        it.body = make_payload(body);
+        const auto id = calls.client.start(std::move(it));
+        run_until(loop, [&] { return calls.is_done(id); });
+        return calls.responses[id];
+    }
+
+    /// Expects that the bytes are not taken for an answer.
+    void expect_failure(const std::string& answer, raw_ending ending = raw_ending::stays_open)
+    {
+        raw_target target{answer, ending};
+        const auto& response = call(target);
+        EXPECT_FALSE(response.is_finished()) << answer;
+        EXPECT_EQ(response.status, 0) << answer;
+        EXPECT_EQ(response.body, "") << answer;
+    }
+
+    event_loop loop;
+    recording_client calls{loop};
+};
+
+// A target answered with status 000, which a caller got as its answer.
+TEST_F(broken_answer, with_an_invalid_status_line_is_a_failure)
+{
+    for (const std::string line :
+         {"HTTP/1.1 000 X", "HTTP/1.1 099 X", "HTTP/1.1 600 X", "HTTP/1.1 999 X", "HTTP/1.1 20 X",
+          "HTTP/1.1 0200 X", "HTTP/1.1 2000 X", "HTTP/1.1 200OK", "HTTP/2 200 OK"}) {
+        expect_failure(line + std::string{rest_of_answer}, raw_ending::closes);
+    }
+}
+
+TEST_F(broken_answer, that_switches_to_another_protocol_is_a_failure)
+{
+    expect_failure("HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n"
+                   "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+                   raw_ending::closes);
+}
+
+TEST_F(broken_answer, without_a_final_head_is_a_failure)
+{
+    expect_failure("HTTP/1.1 100 Continue\r\n\r\n", raw_ending::closes);
+}
+
+TEST_F(broken_answer, is_not_seen_in_odd_but_valid_heads)
+{
+    raw_target target{"HTTP/1.0 200 \r\nX-!#$%&'*+.^_`|~9:  a\tb \x80 \r\nEmpty:\r\n"
+                      "Content-Length: 2\r\nConnection: close\r\n\r\nok"};
+    const auto& response = call(target);
+    EXPECT_TRUE(response.is_finished());
+    EXPECT_EQ(response.status, 200);
+    EXPECT_EQ(response.body, "ok");
+}
+
+} // namespace
+} // namespace endivelatch
--- /dev/null
+++ b/tests/serve/broken_answer_test.cpp
@@ -0,0 +1,81 @@
+#include "serve_fleet.hpp"
+
+#include "net/loopback.hpp"
+#include "net/raw_target.hpp"
+
+#include <string>
+
+#include <gtest/gtest.h>
+
+/// Replicas in trouble whose answers must not reach callers. Sound replicas and the store are
+/// stand-ins; the router is a process.
+namespace endivelatch::serve {
+namespace {
+
+const std::string signature = "Endivelatch-Attempt-Id: {id}\r\n"
+                              "Endivelatch-Response-Signature: signed\r\n";
+
+struct broken_answer {
+    std::string name;
+    std::string answer;
+    raw_ending ending = raw_ending::stays_open;
+};
+
+struct router_with_broken_replica : testing::TestWithParam<broken_answer> {
+    /// Puts the replica in trouble in the place of a sound one.
+    void replace_replica(std::size_t n, const raw_target& target)
+    {
+        auto registration = fleet.registration(n);
+        registration["Address"] = "127.0.0.1:" + std::to_string(target.address().port);
+        registration["born"] = registration["born"].get<std::uint64_t>() + 1;
+        fleet.store.put("servers", fleet.replicas[n]->id(), registration);
+    }
+
+    void replace_all(const raw_target& target)
+    {
+        for (std::size_t n = 0; n < fleet.replicas.size(); ++n) {
+            replace_replica(n, target);
+        }
+        run_for(fleet.loop, std::chrono::milliseconds{300});
+    }
+
+    serve_fleet fleet{1, serve_fleet::network_path::direct, {.body_bytes = 16'000'000}};
+};
+
+TEST_P(router_with_broken_replica, gives_callers_an_error_in_its_place)
+{
+    raw_target target{GetParam().answer, GetParam().ending};
+    replace_all(target);
+    for (const auto* path : {"/unsafe/x", "/safe/x", "/once/stream/x", "/again/stream/x"}) {
+        const auto response = fleet.send_and_wait(1, path, "a1");
+        EXPECT_EQ(response.status, 502) << path;
+        EXPECT_EQ(response.body, "") << path;
+    }
+    EXPECT_GT(target.answers, 0);
+}
+
+TEST_P(router_with_broken_replica, gives_callers_the_answer_of_another_replica)
+{
+    raw_target target{GetParam().answer, GetParam().ending};
+    replace_replica(0, target);
+    run_for(fleet.loop, std::chrono::milliseconds{300});
+    for (int n = 0; n < 6; ++n) {
+        const auto response = fleet.send_and_wait(1, "/safe/x", "a" + std::to_string(n));
+        EXPECT_EQ(response.status, 200);
+        EXPECT_EQ(response.body, "POST /safe/x body");
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    all, router_with_broken_replica,
+    testing::Values(broken_answer{"status_000",
+                                  "HTTP/1.1 000 X\r\n" + signature + "Content-Length: 2\r\n\r\nok"},
+                    broken_answer{"status_000_without_length",
+                                  "HTTP/1.1 000 X\r\n" + signature + "\r\nid: 1\ndata: x\n\n",
+                                  raw_ending::closes},
+                    broken_answer{"status_999", "HTTP/1.1 999 X\r\n" + signature +
+                                                    "Content-Length: 2\r\n\r\nok"}),
+    [](const auto& test) { return test.param.name; });
+
+} // namespace
+} // namespace endivelatch::serve
