Answers with an invalid header line are failures

Evidence, the new tests on: callers of `serve` got 200 with the line "X Y: z", with a folded line joined to the header before it, and with a body cut or read as chunks after "Content-Length : 15" and "Transfer-Encoding : chunked". A control byte in a name was refused already; that test passed and stays. With libcurl (the product's own interface) ten of eleven lines passed ("X" alone was refused), as did a malformed trailer, and "Transfer-Encoding : chunked" left the framing in the body. pool_fixture, answer_reader, broken_answer and router_with_broken_replica failed. Cause: http_parser is lenient about blanks in names and joins folded lines; libcurl passes on any line, and the client trimmed the names. Change: in both readers each name of a head, an interim one or a trailer must be a token; folded lines, which requests may not have either, are refused, and with libcurl control bytes in values too.

--- a/include/endivelatch/http1/head_check.hpp
+++ b/include/endivelatch/http1/head_check.hpp
@@ -11,6 +11,13 @@
 /// and 5). `head` includes the empty line that ends it.
 bool is_strict_head(std::string_view head);
 
+/// Returns whether all characters may stand in a header name (RFC 9110, section 5.6.2).
+bool is_token(std::string_view text);
+
+/// Returns whether a line without its line end is a header: a token directly followed by a colon,
+/// and no control character but tabs in the value.
+bool is_header_line(std::string_view line);
+
 /// Returns the status of a status line without its line end, or nothing if the line is malformed
 /// (RFC 9112, section 4), of another major version than 1, or its status is not from 100 to 599.
 /// The bytes after the status may be missing.
--- a/src/http1/head_check.cpp
+++ b/src/http1/head_check.cpp
@@ -14,14 +14,11 @@
     return is_alphanumeric || std::string_view{"!#$%&'*+-.^_`|~"}.find(c) != std::string_view::npos;
 }
 
-bool is_header_line(std::string_view line)
+bool is_value_char(char c)
 {
-    const auto colon = line.find(':');
-    if (colon == std::string_view::npos || colon == 0) {
-        return false;
-    }
-    const auto name = line.substr(0, colon);
-    return std::all_of(name.begin(), name.end(), is_token_char);
+    constexpr char del = 0x7f;
+    const auto byte = static_cast<unsigned char>(c);
+    return c == '\t' || (byte >= ' ' && c != del);
 }
 
 bool has_stray_line_end(std::string_view line)
@@ -31,6 +28,22 @@
 
 } // namespace
 
+bool is_token(std::string_view text)
+{
+    return std::all_of(text.begin(), text.end(), is_token_char);
+}
+
+bool is_header_line(std::string_view line)
+{
+    const auto colon = line.find(':');
+    if (colon == std::string_view::npos || colon == 0) {
+        return false;
+    }
+    const auto value = line.substr(colon + 1);
+    return is_token(line.substr(0, colon)) &&
+           std::all_of(value.begin(), value.end(), is_value_char);
+}
+
 bool is_strict_head(std::string_view head)
 {
     bool is_start_line = true;
--- a/src/http1/response_head_scanner.cpp
+++ b/src/http1/response_head_scanner.cpp
@@ -35,6 +35,8 @@
         }
         return state::status_line;
     case state::line_start:
+        // http_parser appends a folded line to the value before it.
+        return c == ' ' || c == '\t' ? state::failed : state::line;
     case state::line:
         return state::line;
     case state::complete:
--- a/src/http1/response_head_scanner.hpp
+++ b/src/http1/response_head_scanner.hpp
@@ -6,8 +6,8 @@
 
 namespace endivelatch {
 
-/// Finds the end of a response's head in bytes that arrive in parts, and checks the status line.
-/// `http_parser` accepts any number as a status.
+/// Finds the end of a response's head in bytes that arrive in parts, and checks what `http_parser`
+/// accepts: any number as a status, and folded lines.
 class response_head_scanner {
 public:
     /// Scans bytes up to the end of the head or a fault; returns how many were scanned.
--- a/src/http1/response_reader.cpp
+++ b/src/http1/response_reader.cpp
@@ -1,5 +1,7 @@
 #include "endivelatch/http1/response_reader.hpp"
 
+#include "endivelatch/http1/head_check.hpp"
+
 #include "header_collector.hpp"
 #include "response_head_scanner.hpp"
 
@@ -80,6 +82,16 @@
         http_parser_settings s{};
         http_parser_settings_init(&s);
         collect_headers<parser>(s);
+        s.on_header_field = [](http_parser* p, const char* at, std::size_t n) {
+            // http_parser accepts blanks. Names of trailers are checked, too.
+            if (!is_token({at, n})) {
+                return 1;
+            }
+            if (!of(p).has_head) {
+                of(p).collector.add_name(at, n);
+            }
+            return 0;
+        };
         s.on_headers_complete = [](http_parser* p) {
             auto& it = of(p);
             it.has_head = true;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -38,10 +38,22 @@
     return std::string{url.substr(0, url.find('/'))};
 }
 
+/// Returns the line without the characters that end it.
+std::string_view without_line_end(std::string_view line)
+{
+    if (line.ends_with('\n')) {
+        line.remove_suffix(1);
+    }
+    if (line.ends_with('\r')) {
+        line.remove_suffix(1);
+    }
+    return line;
+}
+
 /// Returns the text without leading and trailing white space.
 std::string_view trim(std::string_view text)
 {
-    constexpr std::string_view blanks = " \t\r\n";
+    constexpr std::string_view blanks = " \t";
     const auto first = text.find_first_not_of(blanks);
     if (first == std::string_view::npos) {
         return {};
@@ -79,6 +91,7 @@
     http_headers headers;
     int status = 0;
     std::string fault; ///< Why the response is malformed; empty if it is not.
+    bool awaits_status_line = true;
     bool is_head_reported = false;
     bool is_paused = false;
     bool is_cancelled = false;
@@ -137,20 +150,10 @@
     {
         auto& it = *static_cast<call_state*>(user_data);
         it.last_received = it.client->loop_->now();
-        const std::string_view line{text, count};
-        if (line.starts_with("HTTP/")) {
-            return read_status_line(it, trim(line)) ? count : 0;
-        }
-        const auto colon = line.find(':');
-        if (colon != std::string_view::npos) {
-            it.headers.push_back(
-                {to_lower(trim(line.substr(0, colon))), std::string{trim(line.substr(colon + 1))}});
-            return count;
-        }
-        if (trim(line).empty() && it.status >= first_final_status) {
-            report_head(it);
-        }
-        return it.is_cancelled ? 0 : count;
+        const auto line = without_line_end({text, count});
+        const bool is_valid =
+            it.awaits_status_line ? read_status_line(it, line) : read_header_line(it, line);
+        return is_valid && !it.is_cancelled ? count : 0;
     }
 
     /// Starts a head. Returns whether the status line is valid; libcurl accepts any number as a
@@ -163,11 +166,35 @@
             it.fault = "the status line is invalid";
             return false;
         }
+        it.awaits_status_line = false;
         it.headers.clear();
         it.status = *status;
         return true;
     }
 
+    /// Reads a line of the head after the first one, or of the trailer, which is dropped. Returns
+    /// whether it is valid; libcurl passes on any line, and ignores those that it cannot read.
+    static bool read_header_line(call_state& it, std::string_view line)
+    {
+        if (line.empty()) {
+            it.awaits_status_line = it.status < first_final_status;
+            if (!it.awaits_status_line) {
+                report_head(it);
+            }
+            return true;
+        }
+        if (!is_header_line(line)) {
+            it.fault = "a header line is invalid";
+            return false;
+        }
+        const auto colon = line.find(':');
+        if (!it.is_head_reported) {
+            it.headers.push_back(
+                {to_lower(line.substr(0, colon)), std::string{trim(line.substr(colon + 1))}});
+        }
+        return true;
+    }
+
     static std::size_t on_body(char* text, std::size_t /*size*/, std::size_t count, void* user_data)
     {
         auto& it = *static_cast<call_state*>(user_data);
--- a/tests/entry/connection_pool_test.cpp
+++ b/tests/entry/connection_pool_test.cpp
@@ -289,5 +289,27 @@
     }
 }
 
+// A target sent headers with a blank or a control byte in the name. Callers got those lines, or a
+// body read without regard to a malformed length.
+TEST_F(pool_fixture, an_answer_with_an_invalid_header_name_fails)
+{
+    for (const std::string line :
+         {"X Y: z", "X : z", " X: z", "\tX: z", "X\x01Y: z", "X\x7fY: z", ": z", "X",
+          "Content-Length : 1", "Transfer-Encoding : chunked"}) {
+        for (const std::string before : {"", "A: b\r\n"}) {
+            scripted_target target{loop, [&](int, const request_head&) {
+                                       return scripted_target::scripted_response{
+                                           "HTTP/1.1 200 OK\r\n" + before + line +
+                                               "\r\nContent-Length: 2\r\n\r\nok",
+                                           true};
+                                   }};
+            const auto& result = exchange(target.address());
+            EXPECT_EQ(result.heads, 0) << line;
+            EXPECT_FALSE(result.is_complete) << line;
+            EXPECT_EQ(result.failed_stage, attempt_stage::answering) << line;
+        }
+    }
+}
+
 } // namespace
 } // namespace endivelatch
--- a/tests/http1/response_reader_test.cpp
+++ b/tests/http1/response_reader_test.cpp
@@ -141,6 +141,32 @@
               no_response);
 }
 
+TEST(answer_reader, fails_on_an_invalid_header)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string rest = "\r\nContent-Length: 2\r\n\r\nok";
+    for (const std::string line :
+         {"X Y: z", "X : z", "X\t: z", " X: z", "\tX: z", "X\x01Y: z", "X\x7fY: z", "X\x80: z",
+          "X: a\x01z", ": z", "X", "Content-Length : 1", "Transfer-Encoding : chunked"}) {
+        EXPECT_EQ(read(head + line + rest), no_response) << line;
+        EXPECT_EQ(read(head + "A: b\r\n" + line + rest), no_response) << line;
+        EXPECT_EQ(read("HTTP/1.1 100 Continue\r\n" + line + "\r\n\r\n" + head + rest.substr(2)),
+                  no_response)
+            << line;
+    }
+    EXPECT_EQ(read(head + "X-!#$%&'*+.^_`|~9:  a\tb \x80 \r\nEmpty:" + rest), whole_response);
+}
+
+TEST(answer_reader, fails_on_an_invalid_trailer_name)
+{
+    for (const std::string line : {"X Y: z", "X : z", " X: z", "X\x01Y: z", ": z", "X"}) {
+        EXPECT_FALSE(read("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n" +
+                          line + "\r\n\r\n")
+                         .is_complete)
+            << line;
+    }
+}
+
 TEST(message_writer, removes_hop_by_hop_headers)
 {
     http_headers headers{{"Connection", "close, X-Hop"},
--- a/tests/net/broken_answer_test.cpp
+++ b/tests/net/broken_answer_test.cpp
@@ -57,6 +57,24 @@
                    raw_ending::closes);
 }
 
+// Each of these lines was dropped or passed on, and the body was read without regard to it.
+TEST_F(broken_answer, with_an_invalid_header_line_is_a_failure)
+{
+    for (const std::string line :
+         {"X Y: z", "X : z", " X: z", "\tX: z", "X\x01Y: z", "X\x7fY: z", ": z", "X", "X: a\x01z",
+          "Content-Length : 1", "Transfer-Encoding : chunked"}) {
+        expect_failure("HTTP/1.1 200 OK\r\nA: b\r\n" + line + std::string{rest_of_answer},
+                       raw_ending::closes);
+    }
+}
+
+TEST_F(broken_answer, with_an_invalid_trailer_is_a_failure)
+{
+    raw_target target{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"
+                      "X Y: z\r\n\r\n"};
+    EXPECT_FALSE(call(target).is_finished());
+}
+
 TEST_F(broken_answer, without_a_final_head_is_a_failure)
 {
     expect_failure("HTTP/1.1 100 Continue\r\n\r\n", raw_ending::closes);
--- a/tests/serve/broken_answer_test.cpp
+++ b/tests/serve/broken_answer_test.cpp
@@ -68,13 +68,32 @@
 
 INSTANTIATE_TEST_SUITE_P(
     all, router_with_broken_replica,
-    testing::Values(broken_answer{"status_000",
-                                  "HTTP/1.1 000 X\r\n" + signature + "Content-Length: 2\r\n\r\nok"},
-                    broken_answer{"status_000_without_length",
-                                  "HTTP/1.1 000 X\r\n" + signature + "\r\nid: 1\ndata: x\n\n",
-                                  raw_ending::closes},
-                    broken_answer{"status_999", "HTTP/1.1 999 X\r\n" + signature +
-                                                    "Content-Length: 2\r\n\r\nok"}),
+    testing::Values(
+        broken_answer{"status_000",
+                      "HTTP/1.1 000 X\r\n" + signature + "Content-Length: 2\r\n\r\nok"},
+        broken_answer{"status_000_without_length",
+                      "HTTP/1.1 000 X\r\n" + signature + "\r\nid: 1\ndata: x\n\n",
+                      raw_ending::closes},
+        broken_answer{"status_999",
+                      "HTTP/1.1 999 X\r\n" + signature + "Content-Length: 2\r\n\r\nok"},
+        broken_answer{"blank_in_a_name", "HTTP/1.1 200 OK\r\n" + signature +
+                                             "X Y: z\r\nContent-Length: 15\r\n\r\n"
+                                             "id: 1\ndata: x\n\n"},
+        broken_answer{"control_byte_in_a_name", "HTTP/1.1 200 OK\r\n" + signature +
+                                                    "X\x01Y: z\r\nContent-Length: 15\r\n\r\n"
+                                                    "id: 1\ndata: x\n\n"},
+        broken_answer{"folded_line", "HTTP/1.1 200 OK\r\n" + signature +
+                                         " X: z\r\nContent-Length: 15\r\n\r\n"
+                                         "id: 1\ndata: x\n\n"},
+        broken_answer{"blank_after_content_length",
+                      "HTTP/1.1 200 OK\r\n" + signature +
+                          "Content-Length : 15\r\n\r\n"
+                          "id: 1\ndata: x\n\nid: 2\ndata: y\n\n",
+                      raw_ending::closes},
+        broken_answer{"blank_after_transfer_encoding",
+                      "HTTP/1.1 200 OK\r\n" + signature +
+                          "Transfer-Encoding : chunked\r\n\r\nf\r\nid: 1\ndata: x\n\n\r\n0\r\n\r\n",
+                      raw_ending::closes}),
     [](const auto& test) { return test.param.name; });
 
 } // namespace
