An answer without length that is reset during an upload is not complete

Evidence, the new tests on: a plain reset was a failure already, in both clients and at callers of `serve`; those tests passed and stay. When the replica ends its side first and resets a moment later, uploads of 20,000, 200,000 and 16,000,000 bytes were complete in both clients, and callers of `serve` got the part as a whole answer (pool_fixture, broken_answer, router_with_resetting_replica failed). Cause: the end of the peer's bytes was taken for the end of the answer although the request was still being sent. Once the reset has come, reading from the socket returns the end of the bytes, and only its pending error shows the reset. Change: such an end completes an answer without length only after the peer has received the whole request. tcp_stream goes on sending and checks for an error until all bytes are acknowledged; the libcurl client, which drops the rest of the request, hands the socket to a tcp_stream. A replica that ends its answer early and still reads the request is served as before; a test shows it for both. Result: the tests pass, and all of test_net and test_entry.

--- a/include/endivelatch/net/http_client.hpp
+++ b/include/endivelatch/net/http_client.hpp
@@ -112,6 +112,8 @@
     void handle_socket_action(int fd, int events);
     /// Reports the calls whose transfers have completed.
     void handle_completed_transfers();
+    /// Ends a call once the rest of its request was sent or the connection was reset.
+    void end_after_rest(call_id id);
     /// Fails calls whose idle timeout has expired.
     void check_idle_timeouts();
     /// Removes a call and reports its outcome.
--- a/include/endivelatch/net/tcp_stream.hpp
+++ b/include/endivelatch/net/tcp_stream.hpp
@@ -72,6 +72,11 @@
     /// detected.
     void pause_reading(bool is_paused);
 
+    /// From now on, reports the end of the peer's bytes as orderly only once the peer has received
+    /// all output, which goes on being sent. If the connection fails before, the failure is
+    /// reported instead: a peer that resets the connection may have ended its bytes too early.
+    void confirm_end_by_delivery() { confirms_end_ = true; }
+
     /// Returns whether the peer closed its sending side orderly (FIN), not with a reset.
     bool has_received_eof() const { return has_received_eof_; }
 
@@ -85,11 +90,19 @@
     static constexpr std::size_t max_read_size = 65'536;
     /// Capacity in bytes above which an empty output buffer is given back.
     static constexpr std::size_t max_kept_capacity = 4'096;
+    /// Interval between checks whether the peer has received all output.
+    static constexpr duration delivery_check_interval{10'000};
 
 private:
     void on_ready(io_interest ready);
     void finish_connecting();
     void read_all();
+    void on_end_of_input();
+    /// Reports the end of the peer's bytes if it has received all output; else checks again later.
+    void check_delivery();
+    void report_end_of_input();
+    /// Watches the socket for what can be read and written now.
+    void watch_socket();
     void flush();
     /// Writes as much as the socket takes; returns the number of bytes or nothing if the connection
     /// failed.
@@ -104,6 +117,8 @@
     bool is_open_ = false;
     bool is_flush_posted_ = false;
     bool is_paused_ = false;
+    bool confirms_end_ = false;
+    bool has_input_ended_ = false; ///< Nothing is read any more, but output is still sent.
     bool has_received_eof_ = false;
     bool was_closed_by_peer_ = false;
     std::string out_;
@@ -113,6 +128,7 @@
     std::uint64_t written_ = 0;
     std::size_t read_limit_ = max_read_size;
     std::unique_ptr<io_watcher> watcher_;
+    std::unique_ptr<timer> delivery_timer_; ///< Null until it is needed.
     /// Checked by posted calls, which may outlive the stream.
     std::shared_ptr<bool> is_alive_ = std::make_shared<bool>(true);
 };
--- a/src/entry/connection_pool.cpp
+++ b/src/entry/connection_pool.cpp
@@ -214,6 +214,9 @@
 {
     conn.is_reusable = head.keeps_alive && !head.is_close_delimited && !conn.is_desynchronised;
     conn.idle_time = keep_alive_timeout(head.headers).value_or(default_idle_time);
+    if (head.is_close_delimited) {
+        conn.stream->confirm_end_by_delivery();
+    }
     if (conn.is_busy) {
         callbacks_.on_head(conn.request, std::move(head));
     }
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -2,11 +2,16 @@
 
 #include "endivelatch/http1/head_check.hpp"
 #include "endivelatch/net/io_watcher.hpp"
+#include "endivelatch/net/tcp_stream.hpp"
 
+#include "socket_state.hpp"
+
+#include <algorithm>
 #include <mutex>
 #include <utility>
 
 #include <curl/curl.h>
+#include <unistd.h>
 
 namespace endivelatch {
 
@@ -26,6 +31,11 @@
 
 constexpr int first_final_status = 200;
 constexpr int switching_protocols = 101;
+constexpr int no_content = 204;
+constexpr int not_modified = 304;
+
+constexpr const char* reset_during_request =
+    "the connection was reset before the whole request was received";
 
 /// Returns `HOST:PORT` of a URL, or the whole text when it has no scheme.
 std::string host_and_port_of(std::string_view url)
@@ -91,6 +101,10 @@
     http_headers headers;
     int status = 0;
     std::string fault; ///< Why the response is malformed; empty if it is not.
+    int fd = -1;       ///< The socket in use.
+    /// Sends the rest of the request after the response has ended; null unless it is needed.
+    std::unique_ptr<tcp_stream> rest;
+    bool was_reset = false; ///< The connection was reset after the end of the response.
     bool awaits_status_line = true;
     bool is_head_reported = false;
     bool is_paused = false;
@@ -106,10 +120,14 @@
 
 /// Functions called by libcurl.
 struct http_client::hooks {
-    static int on_socket(CURL* /*handle*/, curl_socket_t fd, int what, void* client,
-                         void* /*socket*/)
+    static int on_socket(CURL* handle, curl_socket_t fd, int what, void* client, void* /*socket*/)
     {
         auto& self = *static_cast<http_client*>(client);
+        call_state* call = nullptr;
+        curl_easy_getinfo(handle, CURLINFO_PRIVATE, &call);
+        if (call != nullptr && what != CURL_POLL_REMOVE) {
+            call->fd = fd;
+        }
         auto& all = self.sockets_->by_fd;
         const auto found = all.find(fd);
         if (what == CURL_POLL_REMOVE) {
@@ -133,6 +151,52 @@
         return 0;
     }
 
+    static int on_close_socket(void* client, curl_socket_t fd)
+    {
+        auto& self = *static_cast<http_client*>(client);
+        for (const auto& [id, it] : self.calls_) {
+            if (it->fd != fd) {
+                continue;
+            }
+            it->fd = -1;
+            if (ends_with_connection(*it) && keeps_sending(*it, fd)) {
+                return 0;
+            }
+        }
+        return ::close(fd);
+    }
+
+    /// Returns whether only the end of the connection marks the end of the response.
+    static bool ends_with_connection(const call_state& it)
+    {
+        return it.is_head_reported && it.status != no_content && it.status != not_modified &&
+               find_header(it.headers, "content-length") == nullptr &&
+               find_header(it.headers, "transfer-encoding") == nullptr;
+    }
+
+    /// Goes on sending a request whose response has ended, which libcurl does not: a reset in the
+    /// meantime shows that the response may have been cut off. Returns whether it took over the
+    /// socket.
+    static bool keeps_sending(call_state& it, int fd)
+    {
+        curl_off_t sent = 0;
+        curl_easy_getinfo(it.handle, CURLINFO_SIZE_UPLOAD_T, &sent);
+        const std::string_view body = it.body == nullptr ? std::string_view{} : *it.body;
+        const auto unsent = body.substr(std::min(body.size(), static_cast<std::size_t>(sent)));
+        it.was_reset = take_socket_error(fd) != 0;
+        if (it.was_reset || (unsent.empty() && !has_unacknowledged_bytes(fd))) {
+            return false;
+        }
+        tcp_stream_callbacks callbacks;
+        callbacks.on_data = [](std::string_view) {};
+        callbacks.on_closed = [&it](const std::string&) { it.client->end_after_rest(it.id); };
+        it.rest = std::make_unique<tcp_stream>(*it.client->loop_, fd, std::move(callbacks));
+        it.rest->confirm_end_by_delivery();
+        it.rest->out() = unsent;
+        it.rest->flush_soon();
+        return true;
+    }
+
     static int on_timeout(CURLM* /*multi*/, long wait_ms, void* client)
     {
         auto& self = *static_cast<http_client*>(client);
@@ -244,6 +308,7 @@
 {
     callbacks_ = {};
     for (const auto& [id, it] : calls_) {
+        it->fd = -1; // Nothing is sent any more.
         if (it->handle != nullptr) {
             curl_multi_remove_handle(multi_, it->handle);
             curl_easy_cleanup(it->handle);
@@ -288,6 +353,8 @@
     curl_easy_setopt(handle, CURLOPT_HEADERDATA, &it);
     curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &hooks::on_body);
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, &it);
+    curl_easy_setopt(handle, CURLOPT_CLOSESOCKETFUNCTION, &hooks::on_close_socket);
+    curl_easy_setopt(handle, CURLOPT_CLOSESOCKETDATA, this);
     const auto connect_ms = std::chrono::ceil<std::chrono::milliseconds>(call.connect_timeout);
     curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(connect_ms.count()));
     const bool needs_new_connection = call.fresh_connection || !call.may_repeat;
@@ -413,13 +480,18 @@
         const CURLcode code = msg->data.result;
         call_state* it = nullptr;
         curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, &it);
-        if (code == CURLE_OK && it->is_head_reported) {
-            end(*it, call_finished{});
-            continue;
-        }
-        if (code == CURLE_OK) {
+        if (code == CURLE_OK && !it->is_head_reported) {
             it->fault = "the response has no final head";
         }
+        else if (code == CURLE_OK && it->was_reset) {
+            it->fault = reset_during_request;
+        }
+        else if (code == CURLE_OK) {
+            if (it->rest == nullptr) {
+                end(*it, call_finished{});
+            }
+            continue;
+        }
         long sent = 0;
         curl_off_t connected_us = 0;
         curl_easy_getinfo(it->handle, CURLINFO_REQUEST_SIZE, &sent);
@@ -434,6 +506,22 @@
     }
 }
 
+void http_client::end_after_rest(call_id id)
+{
+    // Later, since the stream must not be destroyed within its callback.
+    loop_->post([this, id] {
+        call_state* it = find(id);
+        if (it == nullptr) {
+            return;
+        }
+        if (it->rest->has_received_eof()) {
+            end(*it, call_finished{});
+            return;
+        }
+        end(*it, call_failure{call_failure_kind::broken, true, reset_during_request});
+    });
+}
+
 void http_client::check_idle_timeouts()
 {
     const time_point now = loop_->now();
--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -1,6 +1,7 @@
 #include "endivelatch/net/tcp_stream.hpp"
 
 #include "socket_address.hpp"
+#include "socket_state.hpp"
 
 #include <algorithm>
 #include <array>
@@ -116,6 +117,9 @@
     if (watcher_ != nullptr) {
         watcher_->watch({});
     }
+    if (delivery_timer_ != nullptr) {
+        delivery_timer_->stop();
+    }
     if (fd_ >= 0) {
         ::close(std::exchange(fd_, -1));
     }
@@ -139,10 +143,15 @@
 {
     is_paused_ = is_paused;
     if (is_open_) {
-        watcher_->watch({!is_paused_, unsent() > 0});
+        watch_socket();
     }
 }
 
+void tcp_stream::watch_socket()
+{
+    watcher_->watch({!is_paused_ && !has_input_ended_, unsent() > 0});
+}
+
 void tcp_stream::on_ready(io_interest ready)
 {
     if (!is_open_) {
@@ -159,9 +168,7 @@
 
 void tcp_stream::finish_connecting()
 {
-    int error = 0;
-    socklen_t size = sizeof error;
-    getsockopt(fd_, SOL_SOCKET, SO_ERROR, &error, &size);
+    const int error = take_socket_error(fd_);
     if (error != 0) {
         fail(std::string{"cannot connect: "} + std::strerror(error));
         return;
@@ -182,10 +189,13 @@
         if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
             return;
         }
-        if (n <= 0) {
-            has_received_eof_ = n == 0;
-            was_closed_by_peer_ = n == 0 || errno == ECONNRESET;
-            fail(n == 0 ? "closed by the peer" : std::strerror(errno));
+        if (n == 0) {
+            on_end_of_input();
+            return;
+        }
+        if (n < 0) {
+            was_closed_by_peer_ = errno == ECONNRESET;
+            fail(std::strerror(errno));
             return;
         }
         const auto wanted = read_limit_;
@@ -196,6 +206,43 @@
     }
 }
 
+void tcp_stream::on_end_of_input()
+{
+    if (!confirms_end_) {
+        report_end_of_input();
+        return;
+    }
+    has_input_ended_ = true;
+    watch_socket();
+    check_delivery();
+}
+
+void tcp_stream::check_delivery()
+{
+    // A reset that follows the end shows as an error only; reading goes on to return the end.
+    const int error = take_socket_error(fd_);
+    if (error != 0) {
+        was_closed_by_peer_ = error == ECONNRESET || error == EPIPE;
+        fail(std::strerror(error));
+        return;
+    }
+    if (unsent() > 0 || has_unacknowledged_bytes(fd_)) {
+        if (delivery_timer_ == nullptr) {
+            delivery_timer_ = std::make_unique<timer>(*loop_, [this] { check_delivery(); });
+        }
+        delivery_timer_->start(delivery_check_interval);
+        return;
+    }
+    report_end_of_input();
+}
+
+void tcp_stream::report_end_of_input()
+{
+    has_received_eof_ = true;
+    was_closed_by_peer_ = true;
+    fail("closed by the peer");
+}
+
 void tcp_stream::flush()
 {
     if (!is_open_ || unsent() == 0) {
@@ -216,7 +263,7 @@
         tail_written_ += *n;
     }
     remove_written();
-    watcher_->watch({!is_paused_, unsent() > 0});
+    watch_socket();
     if (unsent() == 0 && callbacks_.on_written) {
         callbacks_.on_written();
     }
--- a/tests/entry/connection_pool_test.cpp
+++ b/tests/entry/connection_pool_test.cpp
@@ -1,6 +1,7 @@
 #include "endivelatch/entry/connection_pool.hpp"
 
 #include "net/loopback.hpp"
+#include "net/raw_target.hpp"
 #include "scripted_target.hpp"
 
 #include <map>
@@ -311,5 +312,30 @@
     }
 }
 
+// A target answered a long upload at once without a length and reset the connection after a part
+// of its body, which a caller got as a complete answer.
+TEST_F(pool_fixture, an_answer_without_length_that_is_reset_during_an_upload_is_not_complete)
+{
+    for (const auto ending : {raw_ending::resets, raw_ending::ends_then_resets}) {
+        for (const std::size_t size : {20'000, 200'000, 16'000'000}) {
+            raw_target target{"HTTP/1.1 200 OK\r\n\r\npart", ending};
+            const auto& result = exchange(target.address(), false, "POST", std::string(size, 'x'));
+            EXPECT_FALSE(result.is_complete) << size;
+            EXPECT_EQ(result.failed_stage, attempt_stage::answering) << size;
+        }
+    }
+}
+
+TEST_F(pool_fixture, an_answer_without_length_that_ends_before_an_upload_is_read_is_complete)
+{
+    for (const std::size_t size : {20'000, 200'000, 16'000'000}) {
+        raw_target target{"HTTP/1.1 200 OK\r\n\r\nwhole", raw_ending::closes};
+        const auto& result = exchange(target.address(), false, "POST", std::string(size, 'x'));
+        EXPECT_TRUE(result.is_complete) << size;
+        EXPECT_EQ(result.body, "whole") << size;
+        EXPECT_EQ(pool.connections(), 0U);
+    }
+}
+
 } // namespace
 } // namespace endivelatch
--- a/tests/net/broken_answer_test.cpp
+++ b/tests/net/broken_answer_test.cpp
@@ -80,6 +80,30 @@
     expect_failure("HTTP/1.1 100 Continue\r\n\r\n", raw_ending::closes);
 }
 
+// A target answered a long upload at once without a length and reset the connection after a part
+// of its body, which a caller got as a complete answer.
+TEST_F(broken_answer, without_length_that_is_reset_during_an_upload_is_a_failure)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n";
+    for (const auto ending : {raw_ending::resets, raw_ending::ends_then_resets}) {
+        for (const std::size_t size : {0, 20'000, 200'000, 16'000'000}) {
+            raw_target target{head + "part", ending};
+            const bool is_upload_sent = size == 0;
+            const bool may_be_complete = is_upload_sent && ending == raw_ending::ends_then_resets;
+            EXPECT_EQ(call(target, std::string(size, 'x')).is_finished(), may_be_complete) << size;
+        }
+    }
+}
+
+TEST_F(broken_answer, without_length_that_ends_before_an_upload_is_read_is_complete)
+{
+    raw_target target{"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nwhole",
+                      raw_ending::closes};
+    const auto& response = call(target, std::string(16'000'000, 'x'));
+    EXPECT_TRUE(response.is_finished());
+    EXPECT_EQ(response.body, "whole");
+}
+
 TEST_F(broken_answer, is_not_seen_in_odd_but_valid_heads)
 {
     raw_target target{"HTTP/1.0 200 \r\nX-!#$%&'*+.^_`|~9:  a\tb \x80 \r\nEmpty:\r\n"
--- a/tests/serve/broken_answer_test.cpp
+++ b/tests/serve/broken_answer_test.cpp
@@ -96,5 +96,44 @@
                       raw_ending::closes}),
     [](const auto& test) { return test.param.name; });
 
+// A replica answered a long upload at once without a length and reset the connection after a part
+// of its body, which the caller got as a complete answer.
+struct router_with_resetting_replica : router_with_broken_replica {
+    /// Sends a long upload and waits for the end of the response.
+    const client_response& upload(const std::string& path)
+    {
+        const std::string body(8'000'000, 'x');
+        outgoing_request request;
+        request.to = fleet.frontend_endpoint(1);
+        request.bytes = "POST " + path +
+                        " HTTP/1.1\r\nHost: host.example\r\nEndivelatch-Attempt-Id: a1\r\n"
+                        "Endivelatch-Deadline-Ms: 5000\r\nAuthorization: Token key\r\n"
+                        "Content-Length: " +
+                        std::to_string(body.size()) + "\r\n\r\n" + body;
+        return fleet.wait_for_response(fleet.client_connections.send(std::move(request)));
+    }
+};
+
+TEST_P(router_with_resetting_replica, gives_callers_no_part_as_a_complete_answer)
+{
+    raw_target target{GetParam().answer, GetParam().ending};
+    replace_all(target);
+    for (const auto* path : {"/unsafe/x", "/safe/x", "/once/stream/x", "/again/stream/x"}) {
+        const auto& response = upload(path);
+        EXPECT_FALSE(response.is_complete && response.status == 200) << path;
+    }
+    EXPECT_GT(target.answers, 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    all, router_with_resetting_replica,
+    testing::Values(broken_answer{"resets",
+                                  "HTTP/1.1 200 OK\r\n" + signature + "\r\nid: 1\ndata: x\n\n",
+                                  raw_ending::resets},
+                    broken_answer{"ends_then_resets",
+                                  "HTTP/1.1 200 OK\r\n" + signature + "\r\nid: 1\ndata: x\n\n",
+                                  raw_ending::ends_then_resets}),
+    [](const auto& test) { return test.param.name; });
+
 } // namespace
 } // namespace endivelatch::serve
