--- a/tests/entry/connection_pool_test.cpp
+++ b/tests/entry/connection_pool_test.cpp
@@ -297,12 +297,10 @@
     for (const std::string line :
          {"X Y: z", "X : z", " X: z", "\tX: z", "X\x01Y: z", "X\x7fY: z", ": z", "X",
           "Content-Length : 1", "Transfer-Encoding : chunked"}) {
-        for (const std::string before : {"", "A: b\r\n"}) {
+        for (std::string head : {"HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nA: b\r\n"}) {
+            head.append(line).append("\r\nContent-Length: 2\r\n\r\nok");
             scripted_target target{loop, [&](int, const request_head&) {
-                                       return scripted_target::scripted_response{
-                                           "HTTP/1.1 200 OK\r\n" + before + line +
-                                               "\r\nContent-Length: 2\r\n\r\nok",
-                                           true};
+                                       return scripted_target::scripted_response{head, true};
                                    }};
             const auto& result = exchange(target.address());
             EXPECT_EQ(result.heads, 0) << line;
--- a/tests/net/raw_target.hpp
+++ b/tests/net/raw_target.hpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include <arpa/inet.h>
+#include <gtest/gtest.h>
 #include <netinet/in.h>
 #include <poll.h>
 #include <sys/socket.h>
@@ -43,8 +44,10 @@
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         socklen_t size = sizeof address;
-        bind(listener_, reinterpret_cast<const sockaddr*>(&address), size);
-        listen(listener_, SOMAXCONN);
+        const bool is_bound =
+            bind(listener_, reinterpret_cast<const sockaddr*>(&address), size) == 0 &&
+            listen(listener_, SOMAXCONN) == 0;
+        EXPECT_TRUE(is_bound);
         getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
         port_ = ntohs(address.sin_port);
         thread_ = std::thread{[this] { run(); }};
