Answers with an ambiguous length are failures

Seen, the new tests before this change: an answer with "Transfer-Encoding: gzip" (or identity, empty, chunked twice, a list) was read up to the end of its connection or as chunks, and callers of `serve` got 200 with the coded body, its coding removed from the head. The libcurl client also took "Content-Length: +2", "2, 2" and one above 64 bits, two lengths, and a length beside chunks. answer_reader, broken_answer and router_with_broken_replica (unknown_transfer_coding) failed. Cause: the readers asked only whether the headers are there. Change: one check for both readers and the reader of requests, which had its own: one Content-Length, or one Transfer-Encoding that is chunked. Requests are checked as strictly as before.

--- a/include/endivelatch/http1/head_check.hpp
+++ b/include/endivelatch/http1/head_check.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "endivelatch/http1/http_header.hpp"
+
 #include <optional>
 #include <string_view>
 
@@ -18,6 +20,11 @@
 /// and no control character but tabs in the value.
 bool is_header_line(std::string_view line);
 
+/// Returns whether the headers give the length of the body in at most one way: one
+/// `Content-Length`, or one `Transfer-Encoding` that is `chunked` (RFC 9112, section 6.3). Other
+/// transfer codings, which no request asks for, are not decoded.
+bool has_unambiguous_length(const http_headers& headers);
+
 /// Returns the status of a status line without its line end, or nothing if the line is malformed
 /// (RFC 9112, section 4), of another major version than 1, or its status is not from 100 to 599.
 /// The bytes after the status may be missing.
--- a/src/http1/head_check.cpp
+++ b/src/http1/head_check.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cstdint>
 
 namespace endivelatch {
 
@@ -21,6 +22,33 @@
     return c == '\t' || (byte >= ' ' && c != del);
 }
 
+/// Returns the number of headers with the name.
+std::ptrdiff_t count_headers(const http_headers& headers, std::string_view name)
+{
+    return std::count_if(headers.begin(), headers.end(),
+                         [&](const auto& it) { return equals_ignoring_case(it.name, name); });
+}
+
+/// Returns the text without the blanks around it.
+std::string_view without_blanks(std::string_view text)
+{
+    constexpr std::string_view blanks = " \t";
+    const auto first = text.find_first_not_of(blanks);
+    if (first == std::string_view::npos) {
+        return {};
+    }
+    return text.substr(first, text.find_last_not_of(blanks) - first + 1);
+}
+
+/// Returns whether the text is a number of bytes, with nothing but blanks around it.
+bool is_byte_count(std::string_view text)
+{
+    const auto digits = without_blanks(text);
+    std::uint64_t n = 0;
+    const auto [end, ec] = std::from_chars(digits.data(), digits.data() + digits.size(), n);
+    return ec == std::errc{} && end == digits.data() + digits.size();
+}
+
 bool has_stray_line_end(std::string_view line)
 {
     return line.find_first_of(std::string_view{"\r\n\0", 3}) != std::string_view::npos;
@@ -68,6 +96,18 @@
     return false;
 }
 
+bool has_unambiguous_length(const http_headers& headers)
+{
+    if (count_headers(headers, "content-length") + count_headers(headers, "transfer-encoding") >
+        1) {
+        return false;
+    }
+    const auto* length = find_header_ignoring_case(headers, "content-length");
+    const auto* coding = find_header_ignoring_case(headers, "transfer-encoding");
+    return (length == nullptr || is_byte_count(*length)) &&
+           (coding == nullptr || equals_ignoring_case(without_blanks(*coding), "chunked"));
+}
+
 std::optional<int> parse_status_line(std::string_view line)
 {
     constexpr std::string_view version = "HTTP/1.";
--- a/src/http1/request_reader.cpp
+++ b/src/http1/request_reader.cpp
@@ -16,32 +16,24 @@
 
 constexpr std::string_view head_end = "\r\n\r\n";
 
-/// Returns the number of headers with the name.
-std::ptrdiff_t count_headers(const http_headers& headers, std::string_view name)
-{
-    return std::count_if(headers.begin(), headers.end(),
-                         [&](const auto& it) { return equals_ignoring_case(it.name, name); });
-}
-
 /// Returns whether host, path and message length are unambiguous.
 bool is_unambiguous(const request_head& head)
 {
     const auto& headers = head.headers;
-    if (count_headers(headers, "host") != 1 || count_headers(headers, "content-length") > 1) {
-        return false;
-    }
-    const auto codings = count_headers(headers, "transfer-encoding");
-    if (codings > 1 || (codings == 1 && count_headers(headers, "content-length") > 0)) {
+    const auto hosts = std::count_if(headers.begin(), headers.end(), [](const auto& it) {
+        return equals_ignoring_case(it.name, "host");
+    });
+    if (hosts != 1 || !has_unambiguous_length(headers)) {
         return false;
     }
+    // Blanks after the value, which `has_unambiguous_length` allows, are refused in requests.
     const auto* coding = find_header_ignoring_case(headers, "transfer-encoding");
     if (coding != nullptr && !equals_ignoring_case(*coding, "chunked")) {
         return false;
     }
     const auto* length = find_header_ignoring_case(headers, "content-length");
     const auto is_digit = [](char c) { return c >= '0' && c <= '9'; };
-    if (length != nullptr &&
-        (length->empty() || !std::all_of(length->begin(), length->end(), is_digit))) {
+    if (length != nullptr && !std::all_of(length->begin(), length->end(), is_digit)) {
         return false;
     }
     return !head.target.empty() && head.target.front() == '/';
--- a/src/http1/response_reader.cpp
+++ b/src/http1/response_reader.cpp
@@ -78,6 +78,9 @@
 
 const http_parser_settings& response_reader::parser::settings()
 {
+    /// Results of `on_headers_complete` other than zero.
+    constexpr int fault = -1;
+    constexpr int no_body = 1;
     static const auto all = [] {
         http_parser_settings s{};
         http_parser_settings_init(&s);
@@ -96,12 +99,15 @@
             auto& it = of(p);
             it.has_head = true;
             if (p->status_code == switching_protocols) {
-                return -1; // No request asks for it, and no HTTP follows.
+                return fault; // No request asks for it, and no HTTP follows.
+            }
+            if (!has_unambiguous_length(it.head.headers)) {
+                return fault;
             }
             if (!it.is_interim()) {
                 it.report_head();
             }
-            return it.to_head_request ? 1 : 0;
+            return it.to_head_request ? no_body : 0;
         };
         s.on_body = [](http_parser* p, const char* at, std::size_t n) {
             of(p).callbacks.on_body({at, n});
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -241,6 +241,10 @@
     static bool read_header_line(call_state& it, std::string_view line)
     {
         if (line.empty()) {
+            if (!has_unambiguous_length(it.headers)) {
+                it.fault = "the length of the body is ambiguous";
+                return false;
+            }
             it.awaits_status_line = it.status < first_final_status;
             if (!it.awaits_status_line) {
                 report_head(it);
--- a/tests/http1/response_reader_test.cpp
+++ b/tests/http1/response_reader_test.cpp
@@ -141,20 +141,29 @@
               no_response);
 }
 
+/// Returns a response with the header line, and another one before it if given.
+std::string response_with(const std::string& line, const std::string& before = {})
+{
+    return "HTTP/1.1 200 OK\r\n" + before + line + "\r\nContent-Length: 2\r\n\r\nok";
+}
+
+/// Returns a response after an interim one with the header line.
+std::string interim_response_with(const std::string& line)
+{
+    return "HTTP/1.1 102 Processing\r\n" + line +
+           "\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+}
+
 TEST(answer_reader, fails_on_an_invalid_header)
 {
-    const std::string head = "HTTP/1.1 200 OK\r\n";
-    const std::string rest = "\r\nContent-Length: 2\r\n\r\nok";
     for (const std::string line :
          {"X Y: z", "X : z", "X\t: z", " X: z", "\tX: z", "X\x01Y: z", "X\x7fY: z", "X\x80: z",
           "X: a\x01z", ": z", "X", "Content-Length : 1", "Transfer-Encoding : chunked"}) {
-        EXPECT_EQ(read(head + line + rest), no_response) << line;
-        EXPECT_EQ(read(head + "A: b\r\n" + line + rest), no_response) << line;
-        EXPECT_EQ(read("HTTP/1.1 100 Continue\r\n" + line + "\r\n\r\n" + head + rest.substr(2)),
-                  no_response)
-            << line;
+        EXPECT_EQ(read(response_with(line)), no_response) << line;
+        EXPECT_EQ(read(response_with(line, "A: b\r\n")), no_response) << line;
+        EXPECT_EQ(read(interim_response_with(line)), no_response) << line;
     }
-    EXPECT_EQ(read(head + "X-!#$%&'*+.^_`|~9:  a\tb \x80 \r\nEmpty:" + rest), whole_response);
+    EXPECT_EQ(read(response_with("X-!#$%&'*+.^_`|~9:  a\tb \x80 \r\nEmpty:")), whole_response);
 }
 
 TEST(answer_reader, fails_on_an_invalid_trailer_name)
@@ -167,6 +176,26 @@
     }
 }
 
+// The body was passed on coded, or with a length that it did not have.
+TEST(answer_reader, fails_on_an_ambiguous_length)
+{
+    for (const std::string headers :
+         {"Transfer-Encoding: gzip", "Transfer-Encoding: gzip, chunked",
+          "Transfer-Encoding: chunked, gzip", "Transfer-Encoding: identity",
+          "Transfer-Encoding: ", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+          "Transfer-Encoding: chunked\r\nContent-Length: 2",
+          "Content-Length: 2\r\nTransfer-Encoding: chunked",
+          "Content-Length: ", "Content-Length: +2", "Content-Length: -2", "Content-Length: 2, 2",
+          "Content-Length: 2\r\nContent-Length: 2", "Content-Length: 2\r\nContent-Length: 3",
+          "Content-Length: 99999999999999999999"}) {
+        EXPECT_EQ(read("HTTP/1.1 200 OK\r\n" + headers + "\r\n\r\n2\r\nok\r\n0\r\n\r\n"),
+                  no_response)
+            << headers;
+    }
+    EXPECT_EQ(read("HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"),
+              whole_response);
+}
+
 TEST(message_writer, removes_hop_by_hop_headers)
 {
     http_headers headers{{"Connection", "close, X-Hop"},
--- a/tests/net/broken_answer_test.cpp
+++ b/tests/net/broken_answer_test.cpp
@@ -75,6 +75,23 @@
     EXPECT_FALSE(call(target).is_finished());
 }
 
+// The body was passed on coded, or with a length that it did not have.
+TEST_F(broken_answer, with_an_ambiguous_length_is_a_failure)
+{
+    for (const std::string headers :
+         {"Transfer-Encoding: gzip", "Transfer-Encoding: gzip, chunked",
+          "Transfer-Encoding: chunked, gzip", "Transfer-Encoding: identity",
+          "Transfer-Encoding: ", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+          "Transfer-Encoding: chunked\r\nContent-Length: 2",
+          "Content-Length: 2\r\nTransfer-Encoding: chunked",
+          "Content-Length: ", "Content-Length: +2", "Content-Length: -2", "Content-Length: 2, 2",
+          "Content-Length: 2\r\nContent-Length: 2", "Content-Length: 2\r\nContent-Length: 3",
+          "Content-Length: 99999999999999999999"}) {
+        expect_failure("HTTP/1.1 200 OK\r\n" + headers + "\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+                       raw_ending::closes);
+    }
+}
+
 TEST_F(broken_answer, without_a_final_head_is_a_failure)
 {
     expect_failure("HTTP/1.1 100 Continue\r\n\r\n", raw_ending::closes);
@@ -99,7 +116,9 @@
 {
     raw_target target{"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nwhole",
                       raw_ending::closes};
-    const auto& response = call(target, std::string(16'000'000, 'x'));
+    std::string body;
+    body.resize(16'000'000, 'x');
+    const auto& response = call(target, body);
     EXPECT_TRUE(response.is_finished());
     EXPECT_EQ(response.body, "whole");
 }
--- a/tests/serve/broken_answer_test.cpp
+++ b/tests/serve/broken_answer_test.cpp
@@ -93,6 +93,10 @@
         broken_answer{"blank_after_transfer_encoding",
                       "HTTP/1.1 200 OK\r\n" + signature +
                           "Transfer-Encoding : chunked\r\n\r\nf\r\nid: 1\ndata: x\n\n\r\n0\r\n\r\n",
+                      raw_ending::closes},
+        broken_answer{"unknown_transfer_coding",
+                      "HTTP/1.1 200 OK\r\n" + signature +
+                          "Transfer-Encoding: gzip\r\n\r\nid: 1\ndata: x\n\n",
                       raw_ending::closes}),
     [](const auto& test) { return test.param.name; });
 
