Responses whose status has no body end with their head

Seen, the new test before this change: an interim response with "Content-Length: 3" took the first three bytes of the final response for its body, which the pool reported, so that a reply of the store began with "HTT"; an answer with status 204 or 304 and a length took the bytes behind it. The libcurl client was right already. Cause: http_parser reads a body wherever a length is stated (RFC 9112, section 6.3 allows none for 1xx, 204 and 304). Change: the reader ends these responses with their head.

--- a/src/http1/response_reader.cpp
+++ b/src/http1/response_reader.cpp
@@ -15,6 +15,8 @@
 
 constexpr int first_final_status = 200;
 constexpr int switching_protocols = 101;
+constexpr int no_content = 204;
+constexpr int not_modified = 304;
 
 /// Interim responses before a final one; more are taken for bytes without end.
 constexpr int max_interim_responses = 16;
@@ -44,6 +46,11 @@
     }
 
     bool is_interim() const { return state.status_code < first_final_status; }
+    bool has_body() const
+    {
+        return !to_head_request && !is_interim() && state.status_code != no_content &&
+               state.status_code != not_modified;
+    }
     void report_head();
     std::size_t feed_part(std::string_view bytes);
 
@@ -68,8 +75,7 @@
     head.keeps_alive = http_should_keep_alive(&state) != 0;
     const bool is_chunked = find_header_ignoring_case(head.headers, "transfer-encoding") != nullptr;
     const bool has_length = find_header_ignoring_case(head.headers, "content-length") != nullptr;
-    const bool has_body = !to_head_request && head.status != 204 && head.status != 304;
-    head.is_close_delimited = has_body && !is_chunked && !has_length;
+    head.is_close_delimited = has_body() && !is_chunked && !has_length;
     if (has_length && !is_chunked) {
         head.length = state.content_length;
     }
@@ -107,7 +113,7 @@
             if (!it.is_interim()) {
                 it.report_head();
             }
-            return it.to_head_request ? no_body : 0;
+            return it.has_body() ? 0 : no_body;
         };
         s.on_body = [](http_parser* p, const char* at, std::size_t n) {
             of(p).callbacks.on_body({at, n});
--- a/tests/http1/response_reader_test.cpp
+++ b/tests/http1/response_reader_test.cpp
@@ -196,6 +196,25 @@
               whole_response);
 }
 
+// The bytes after the head of an interim response belong to the next response.
+TEST(answer_reader, responses_without_a_body_end_with_their_head)
+{
+    const std::string rest = "abc";
+    for (const std::string line : {"Content-Length: 3", "Transfer-Encoding: chunked"}) {
+        recorder it;
+        it.reader.feed(interim_response_with(line));
+        EXPECT_EQ(it.body, "ok") << line;
+        EXPECT_EQ(it.completed, 1) << line;
+        for (std::string head : {"HTTP/1.1 204 No Content\r\n", "HTTP/1.1 304 Not Modified\r\n"}) {
+            recorder empty;
+            head.append(line).append("\r\n\r\n");
+            EXPECT_EQ(empty.reader.feed(head + rest), head.size()) << head;
+            EXPECT_EQ(empty.completed, 1) << head;
+            EXPECT_EQ(empty.body, "") << head;
+        }
+    }
+}
+
 TEST(message_writer, removes_hop_by_hop_headers)
 {
     http_headers headers{{"Connection", "close, X-Hop"},
--- a/tests/net/broken_answer_test.cpp
+++ b/tests/net/broken_answer_test.cpp
@@ -92,6 +92,17 @@
     }
 }
 
+// The bytes after the head of an interim response belong to the next response.
+TEST_F(broken_answer, is_not_seen_in_an_interim_response_with_a_length)
+{
+    raw_target target{"HTTP/1.1 102 Processing\r\nContent-Length: 3\r\n\r\n"
+                      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"};
+    const auto& response = call(target);
+    EXPECT_TRUE(response.is_finished());
+    EXPECT_EQ(response.status, 200);
+    EXPECT_EQ(response.body, "ok");
+}
+
 TEST_F(broken_answer, without_a_final_head_is_a_failure)
 {
     expect_failure("HTTP/1.1 100 Continue\r\n\r\n", raw_ending::closes);
