--- a/include/endivelatch/http1/http_header.hpp
+++ b/include/endivelatch/http1/http_header.hpp
@@ -27,6 +27,9 @@
 /// Returns the value of the first header with the name, ignoring ASCII case, or null.
 const std::string* find_header_ignoring_case(const http_headers& headers, std::string_view name);
 
+/// Returns the text without the spaces and tabs around it.
+std::string_view without_blanks(std::string_view text);
+
 /// Returns the elements of a comma-separated list, trimmed of spaces and tabs; empty elements are
 /// skipped.
 std::vector<std::string_view> split_list(std::string_view text);
--- a/src/http1/head_check.cpp
+++ b/src/http1/head_check.cpp
@@ -29,17 +29,6 @@
                          [&](const auto& it) { return equals_ignoring_case(it.name, name); });
 }
 
-/// Returns the text without the blanks around it.
-std::string_view without_blanks(std::string_view text)
-{
-    constexpr std::string_view blanks = " \t";
-    const auto first = text.find_first_not_of(blanks);
-    if (first == std::string_view::npos) {
-        return {};
-    }
-    return text.substr(first, text.find_last_not_of(blanks) - first + 1);
-}
-
 /// Returns whether the text is a number of bytes, with nothing but blanks around it.
 bool is_byte_count(std::string_view text)
 {
--- a/src/http1/http_header.cpp
+++ b/src/http1/http_header.cpp
@@ -30,19 +30,26 @@
     return it == headers.end() ? nullptr : &it->value;
 }
 
+std::string_view without_blanks(std::string_view text)
+{
+    constexpr std::string_view blanks = " \t";
+    const auto first = text.find_first_not_of(blanks);
+    if (first == std::string_view::npos) {
+        return {};
+    }
+    return text.substr(first, text.find_last_not_of(blanks) - first + 1);
+}
+
 std::vector<std::string_view> split_list(std::string_view text)
 {
     std::vector<std::string_view> parts;
     while (!text.empty()) {
         const auto comma = std::min(text.find(','), text.size());
-        auto part = text.substr(0, comma);
+        const auto part = without_blanks(text.substr(0, comma));
         text.remove_prefix(std::min(comma + 1, text.size()));
-        const auto first = part.find_first_not_of(" \t");
-        if (first == std::string_view::npos) {
-            continue;
+        if (!part.empty()) {
+            parts.push_back(part);
         }
-        part = part.substr(first, part.find_last_not_of(" \t") - first + 1);
-        parts.push_back(part);
     }
     return parts;
 }
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -60,17 +60,6 @@
     return line;
 }
 
-/// Returns the text without leading and trailing white space.
-std::string_view trim(std::string_view text)
-{
-    constexpr std::string_view blanks = " \t";
-    const auto first = text.find_first_not_of(blanks);
-    if (first == std::string_view::npos) {
-        return {};
-    }
-    return text.substr(first, text.find_last_not_of(blanks) - first + 1);
-}
-
 } // namespace
 
 std::string_view to_string(call_failure_kind kind)
@@ -151,6 +140,7 @@
         return 0;
     }
 
+    /// Closes a socket, unless the rest of a request is still sent on it.
     static int on_close_socket(void* client, curl_socket_t fd)
     {
         auto& self = *static_cast<http_client*>(client);
@@ -159,7 +149,7 @@
                 continue;
             }
             it->fd = -1;
-            if (ends_with_connection(*it) && keeps_sending(*it, fd)) {
+            if (ends_with_connection(*it) && send_rest(*it, fd)) {
                 return 0;
             }
         }
@@ -177,7 +167,7 @@
     /// Goes on sending a request whose response has ended, which libcurl does not: a reset in the
     /// meantime shows that the response may have been cut off. Returns whether it took over the
     /// socket.
-    static bool keeps_sending(call_state& it, int fd)
+    static bool send_rest(call_state& it, int fd)
     {
         curl_off_t sent = 0;
         curl_easy_getinfo(it.handle, CURLINFO_SIZE_UPLOAD_T, &sent);
@@ -257,8 +247,8 @@
         }
         const auto colon = line.find(':');
         if (!it.is_head_reported) {
-            it.headers.push_back(
-                {to_lower(line.substr(0, colon)), std::string{trim(line.substr(colon + 1))}});
+            it.headers.push_back({to_lower(line.substr(0, colon)),
+                                  std::string{without_blanks(line.substr(colon + 1))}});
         }
         return true;
     }
--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -219,7 +219,7 @@
 
 void tcp_stream::check_delivery()
 {
-    // A reset that follows the end shows as an error only; reading goes on to return the end.
+    // After the end, a reset shows only as a pending error; reads still return the end.
     const int error = take_socket_error(fd_);
     if (error != 0) {
         was_closed_by_peer_ = error == ECONNRESET || error == EPIPE;
