Crashes count at any point of an answer, and only whole answers clear prompt parts

Cause: an attempt with one whole event counted as proof that its parts were sound and never as evidence of a crash. And each report counted as a crash of its own, although a crash ends all attempts of a target and at most one of them caused it. The two can't be mended apart: with attempts that have begun, a crash gives a report for each of them, so one commit has both.

Change: each attempt that its target ends is evidence, a whole answer clears. `crash_analysis` groups the reports by crash, takes those of one crash as alternatives, lets narrower parts explain the crashes of wider ones, and asks for more of parts that were in whole answers. Where two causes are possible, one router of the fleet sends single requests to find out. Clearances in gossip say `is_whole`; those of earlier builds, sent at the first event, are ignored.

Tests of crash_evidence that recorded begun answers now record whole ones, whose last part is not shared, as in prompts; what they expect is unchanged. The name that said that a begun answer clears stated the fault.

--- a/include/endivelatch/membership/crash_report.hpp
+++ b/include/endivelatch/membership/crash_report.hpp
@@ -18,7 +18,7 @@
 /// Formats a part in hexadecimal, for logs.
 std::string format_part(part_key part);
 
-/// A request that was lost at the crash of a target before its answer began.
+/// A request that was lost at the crash of a target before its answer was complete.
 struct crash_report {
     crash_report_id id;
     target_key target;
@@ -30,10 +30,10 @@
     friend bool operator==(const crash_report&, const crash_report&) = default;
 };
 
-/// An answer to a prompt with the part has begun, so the part did not cause earlier crashes.
+/// An answer to a prompt with the part was whole, so the part did not cause earlier crashes.
 struct part_clearance {
     part_key part;
-    duration age{}; ///< Time since the answer began.
+    duration age{}; ///< Time since the answer was complete.
 
     friend bool operator==(const part_clearance&, const part_clearance&) = default;
 };
--- a/include/endivelatch/traffic/traffic_router.hpp
+++ b/include/endivelatch/traffic/traffic_router.hpp
@@ -119,6 +119,9 @@
     /// in that time, since other requests are refused as well.
     static constexpr duration min_late_retry_after{500'000};
     static constexpr duration max_late_retry_after{2'000'000};
+    /// Maximum Retry-After for a quarantined part. A whole answer may end the quarantine at any
+    /// time.
+    static constexpr duration max_quarantine_retry_after{30'000'000};
     /// Time for which a stopping router still accepts all requests, but at most `accepting_share`
     /// of its time. Within it, callers learn that the router was removed from the entry list.
     static constexpr duration stop_grace_period{2'500'000};
@@ -155,6 +158,7 @@
         sent_request sent;
         bool is_answering = false;   ///< The head of the answer was received.
         bool has_first_byte = false; ///< The first bytes of the body were received.
+        bool is_resumed = false;     ///< Its answer goes on after an event of an earlier one.
         event_counter events;        ///< Of a stream.
     };
 
@@ -180,6 +184,7 @@
         yield_group group;
         bool is_counted = false;               ///< In the shares of the pool's groups.
         bool has_returned = false;             ///< Its caller was probably refused before.
+        bool tries_part_out = false;           ///< Sent in spite of a quarantined part.
         std::optional<time_point> waits_since; ///< It waits for room at a target.
         event_splitter events;
         std::optional<std::uint64_t> last_event; ///< Last event sent to the caller.
@@ -278,9 +283,10 @@
 
     // Crashes of targets, in traffic_crashes.cpp.
     void record_possible_crash(const exchange& it);
-    void record_begun_answer(const exchange& it);
+    void record_whole_answer(const exchange& it);
     void apply_new_quarantines();
     bool refuse_quarantined(exchange_number number, exchange& it);
+    bool start_trial(exchange& it);
     bool may_have_crashed_targets(const exchange& it) const;
 
     // Statements of targets about themselves, in traffic_statements.cpp.
--- a/src/traffic/crash_evidence.cpp
+++ b/src/traffic/crash_evidence.cpp
@@ -1,8 +1,8 @@
 #include "endivelatch/traffic/crash_evidence.hpp"
 
 #include <algorithm>
-#include <set>
 #include <tuple>
+#include <unordered_set>
 #include <utility>
 
 namespace endivelatch {
@@ -39,7 +39,7 @@
 template <class Entry>
 std::vector<Entry*> select_first(std::vector<Entry*> entries, std::size_t max_count)
 {
-    std::sort(entries.begin(), entries.end(), [](const auto* a, const auto* b) {
+    std::stable_sort(entries.begin(), entries.end(), [](const auto* a, const auto* b) {
         return std::tie(b->is_shared_first, a->shared_at) <
                std::tie(a->is_shared_first, b->shared_at);
     });
@@ -51,27 +51,38 @@
 
 void crash_evidence::record_crash(crash_report_id id, target_key target,
                                   std::span<const prompt_part> all, time_point sent_at,
-                                  time_point now)
+                                  time_point now, std::uint64_t events)
 {
-    // Those that began least recently first, never begun ones before all.
+    last_crash_at_ = std::max(last_crash_at_, now);
+    // Those with the least recent whole answers first, those without any before all.
     std::vector<std::pair<time_point, part_key>> suspects;
     suspects.reserve(all.size());
     for (const auto& it : all) {
-        const auto begun = begun_.find(part_key{it.id});
-        suspects.emplace_back(begun == begun_.end() ? time_point::min() : begun->second.at,
+        const auto answered = answered_.find(part_key{it.id});
+        suspects.emplace_back(answered == answered_.end() ? time_point::min() : answered->second.at,
                               part_key{it.id});
     }
     std::stable_sort(suspects.begin(), suspects.end(),
                      [](const auto& a, const auto& b) { return a.first < b.first; });
-    crash_record record{id, target, sent_at, now, {}, {}, false, {}, {}, false};
-    for (const auto& [begun_at, part] : suspects) {
-        const bool is_sound = begun_at != time_point::min() && now - begun_at < recent_begin;
+    crash_record record{};
+    record.id = id;
+    record.target = target;
+    record.sent_at = sent_at;
+    record.crashed_at = now;
+    record.events = events;
+    for (const auto& [answered_at, part] : suspects) {
+        const bool is_sound = answered_at != time_point::min() && now - answered_at < recent_answer;
         if (record.parts.size() < max_suspects && (!is_sound || record.parts.empty())) {
             record.parts.push_back(part);
         }
     }
     sort_unique(record.parts);
+    const auto shared = all.first(all.empty() ? 0 : all.size() - 1);
+    record.suspects_shared_part = std::any_of(shared.begin(), shared.end(), [&](const auto& it) {
+        return !answered_.contains(part_key{it.id});
+    });
     add(std::move(record), now);
+    update_causes();
 }
 
 void crash_evidence::add(crash_record&& record, time_point now)
@@ -84,8 +95,8 @@
     }
     const bool is_needless = std::any_of(record.parts.begin(), record.parts.end(), [&](auto part) {
         const auto found = quarantined_.find(part);
-        return found != quarantined_.end() && found->second.size() == 1 &&
-               reports_of(part).size() >= max_reports_per_part;
+        return found != quarantined_.end() && found->second.parts.size() == 1 &&
+               found->second.narrower.empty() && found->second.crashes >= max_crashes_per_part;
     });
     if (is_needless) {
         return;
@@ -94,7 +105,7 @@
         remove_least_useful();
     }
     records_.push_back(std::move(record));
-    update_quarantine();
+    are_causes_outdated_ = true;
 }
 
 /// Adds what a report of a known crash tells beyond what is held of it. The report may name other
@@ -113,29 +124,37 @@
     sort_unique(parts);
     if (parts != known.parts) {
         known.parts = std::move(parts);
-        update_quarantine();
+        are_causes_outdated_ = true;
     }
 }
 
-/// Removes the oldest report that is refuted, or else the oldest one without a quarantined part.
+/// Removes the report that says least about the cause of crashes: a refuted one, else one whose
+/// parts were present at the fewest other crashes. One crash of a busy target gives many reports,
+/// so the largest of the crashes loses one first.
 void crash_evidence::remove_least_useful()
 {
-    const auto supports_quarantine = [this](const crash_record& it) {
-        return std::any_of(it.parts.begin(), it.parts.end(),
-                           [this](auto part) { return quarantined_.contains(part); });
+    const auto usefulness = [this](const crash_record& it) {
+        std::size_t crashes = 0;
+        bool is_evidence = false;
+        for (const auto part : it.parts) {
+            const auto found = crashes_with_.find(part);
+            const bool is_counted = found != crashes_with_.end() && !answered_.contains(part);
+            crashes = std::max(crashes, is_counted ? found->second : 0);
+            is_evidence = is_evidence || quarantined_.contains(part);
+        }
+        return std::tuple{!it.is_refuted, is_evidence, crashes, it.suspects_shared_part,
+                          -static_cast<std::int64_t>(it.attempts_of_crash)};
     };
-    auto it = std::find_if(records_.begin(), records_.end(),
-                           [](const auto& record) { return record.is_refuted; });
-    if (it == records_.end()) {
-        it = std::find_if_not(records_.begin(), records_.end(), supports_quarantine);
-    }
-    records_.erase(it == records_.end() ? records_.begin() : it);
+    records_.erase(
+        std::min_element(records_.begin(), records_.end(), [&](const auto& a, const auto& b) {
+            return usefulness(a) < usefulness(b);
+        }));
 }
 
 bool crash_evidence::was_cleared(part_key part, time_point since) const
 {
-    const auto begun = begun_.find(part);
-    return begun != begun_.end() && begun->second.at > since;
+    const auto answered = answered_.find(part);
+    return answered != answered_.end() && answered->second.at > since;
 }
 
 /// Removes the parts that were cleared after the crash. Returns whether any is left.
@@ -144,7 +163,7 @@
     std::erase_if(record.parts, [&](auto part) {
         const bool is_cleared = was_cleared(part, record.crashed_at);
         if (is_cleared) {
-            begun_.at(part).is_clearance = true;
+            answered_.at(part).is_clearance = true;
         }
         return is_cleared;
     });
@@ -155,63 +174,64 @@
 void crash_evidence::remove_cleared_parts()
 {
     std::erase_if(records_, [this](auto& it) { return !remove_cleared_parts(it); });
-    update_quarantine();
+    are_causes_outdated_ = true;
 }
 
-/// Forgets those that began before half of the others, if they are too many.
-void crash_evidence::limit_begun_parts(time_point now)
+/// Forgets those answered before half of the others, if they are too many.
+void crash_evidence::limit_answered_parts(time_point now)
 {
-    if (begun_.size() <= max_begun_parts) {
+    if (answered_.size() <= max_answered_parts) {
         return;
     }
-    std::erase_if(begun_, [&](const auto& it) {
+    std::erase_if(answered_, [&](const auto& it) {
         return now - it.second.at > clearance_lifetime / 2 && !it.second.is_clearance;
     });
-    if (begun_.size() <= max_begun_parts) {
+    if (answered_.size() <= max_answered_parts) {
         return;
     }
     std::vector<time_point> times;
-    times.reserve(begun_.size());
-    for (const auto& [part, it] : begun_) {
+    times.reserve(answered_.size());
+    for (const auto& [part, it] : answered_) {
         times.push_back(it.at);
     }
     const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
     std::nth_element(times.begin(), middle, times.end());
-    std::erase_if(begun_, [&](const auto& it) { return it.second.at <= *middle; });
+    std::erase_if(answered_, [&](const auto& it) { return it.second.at <= *middle; });
 }
 
-void crash_evidence::record_begin(std::span<const prompt_part> shared, time_point now)
+void crash_evidence::record_whole_answer(std::span<const prompt_part> all, time_point now)
 {
-    limit_begun_parts(now);
-    bool has_changed = false;
-    for (const auto& it : shared) {
-        has_changed = note_begin(part_key{it.id}, now, false) || has_changed;
+    if (all.empty()) {
+        return;
     }
-    if (has_changed) {
-        remove_cleared_parts();
+    limit_answered_parts(now);
+    bool has_changed = false;
+    for (const auto& it : all.first(all.size() - 1)) {
+        has_changed = note_answer(part_key{it.id}, now, false) || has_changed;
     }
-}
-
-void crash_evidence::record_begin_of_suspect(const prompt_part& part, time_point now)
-{
-    const part_key key{part.id};
+    // Few other prompts have the last part, so it is remembered only if a report suspects it.
+    const part_key last{all.back().id};
     const bool is_suspect = std::any_of(records_.begin(), records_.end(),
-                                        [&](const auto& it) { return it.may_be_due_to(key); });
-    if (is_suspect && note_begin(key, now, false)) {
+                                        [&](const auto& it) { return it.may_be_due_to(last); });
+    if (is_suspect) {
+        has_changed = note_answer(last, now, false) || has_changed;
+    }
+    if (has_changed) {
         remove_cleared_parts();
+        update_causes();
     }
 }
 
-/// Records that an answer to a prompt with the part has begun. Returns whether a report suspects
+/// Records that an answer to a prompt with the part was whole. Returns whether a report suspects
 /// the part of an earlier crash.
-bool crash_evidence::note_begin(part_key part, time_point at, bool was_shared)
+bool crash_evidence::note_answer(part_key part, time_point at, bool was_shared)
 {
-    auto& begun = begun_.try_emplace(part, begun_part{part, {}, false, {}, false}).first->second;
-    if (begun.at >= at) {
+    auto& answered = answered_.try_emplace(part, answered_part{.part = part}).first->second;
+    if (answered.at >= at) {
         return false;
     }
-    begun.at = at;
-    begun.is_clearance = begun.is_clearance || was_shared;
+    answered.at = at;
+    answered.is_clearance = answered.is_clearance || was_shared;
     return std::any_of(records_.begin(), records_.end(), [&](const auto& it) {
         return it.crashed_at < at && it.may_be_due_to(part);
     });
@@ -229,7 +249,8 @@
         }
     }
     if (has_changed) {
-        update_quarantine();
+        are_causes_outdated_ = true;
+        update_causes();
     }
 }
 
@@ -237,8 +258,13 @@
 {
     bool has_changed = false;
     for (const auto& it : news.clearances) {
-        has_changed =
-            (it.age < clearance_lifetime && note_begin(it.part, now - it.age, true)) || has_changed;
+        if (it.age >= report_lifetime) {
+            continue;
+        }
+        // A part of a whole answer needs more crashes, even if the answer is older than they are.
+        const bool is_first = !answered_.contains(it.part) && crashes_with_.contains(it.part);
+        are_causes_outdated_ = are_causes_outdated_ || is_first;
+        has_changed = note_answer(it.part, now - it.age, true) || has_changed;
     }
     if (has_changed) {
         remove_cleared_parts();
@@ -253,13 +279,18 @@
             update(*known, it);
             continue;
         }
-        const auto crashed_at = now - it.age;
-        crash_record record{
-            it.id, it.target, crashed_at - it.held, crashed_at, it.parts, it.all_parts, false, {},
-            {},    false};
+        crash_record record{};
+        record.id = it.id;
+        record.target = it.target;
+        record.crashed_at = now - it.age;
+        record.sent_at = record.crashed_at - it.held;
+        record.parts = it.parts;
+        record.all_parts = it.all_parts;
         sort_unique(record.parts);
+        last_crash_at_ = std::max(last_crash_at_, record.crashed_at);
         add(std::move(record), now);
     }
+    update_causes();
 }
 
 crash_news crash_evidence::next_news(time_point now)
@@ -277,6 +308,12 @@
             due.push_back(&it);
         }
     }
+    // Others cannot have seen a part that only this request has. A target that crashes as it begins
+    // an answer has sent few events of it.
+    std::stable_sort(due.begin(), due.end(), [](const auto* a, const auto* b) {
+        return std::tie(b->suspects_shared_part, a->events) <
+               std::tie(a->suspects_shared_part, b->events);
+    });
     std::vector<crash_report> reports;
     reports.reserve(max_crash_reports_per_packet);
     for (auto* it : select_first(std::move(due), max_crash_reports_per_packet)) {
@@ -302,27 +339,31 @@
             it.named = std::move(parts);
             it.shared_at = {};
         }
-        it.is_shared_first = it.shared_at == time_point{} &&
-                             std::any_of(it.named.begin(), it.named.end(), [&](auto part) {
-                                 return count_other_crashes(it, part) > 0;
-                             });
+        it.is_shared_first =
+            it.shared_at == time_point{} &&
+            std::any_of(it.named.begin(), it.named.end(), [&](auto part) {
+                return !answered_.contains(part) && count_other_crashes(it, part) > 0;
+            });
     }
 }
 
 /// Returns the number of other crashes at which the part may have been present.
 std::size_t crash_evidence::count_other_crashes(const crash_record& record, part_key part) const
 {
-    const auto count = std::count_if(records_.begin(), records_.end(), [&](const auto& it) {
-        const bool may_be_present =
-            it.may_be_due_to(part) ||
-            (!it.is_refuted && it.all_parts.may_contain(part) && !was_cleared(part, it.crashed_at));
-        return it.id != record.id && may_be_present;
-    });
-    return static_cast<std::size_t>(count);
+    const auto found = crashes_with_.find(part);
+    const auto named = found == crashes_with_.end() ? 0 : found->second - 1;
+    std::unordered_set<std::size_t> others;
+    for (const auto& it : records_) {
+        if (!it.is_refuted && it.crash != record.crash && it.all_parts.may_contain(part) &&
+            !it.may_be_due_to(part) && !was_cleared(part, it.crashed_at)) {
+            others.insert(it.crash);
+        }
+    }
+    return named + others.size();
 }
 
 /// Returns the parts to name in a report: those that were present at most other crashes, of these
-/// the ones that began least recently.
+/// the ones without recent whole answers.
 std::vector<part_key> crash_evidence::select_parts(const crash_record& record) const
 {
     if (record.parts.size() <= max_parts_per_crash_report) {
@@ -331,17 +372,17 @@
     struct suspect {
         part_key part;
         std::size_t crashes;
-        time_point begun_at;
+        time_point answered_at;
     };
     std::vector<suspect> suspects;
     suspects.reserve(record.parts.size());
     for (const auto part : record.parts) {
-        const auto begun = begun_.find(part);
+        const auto answered = answered_.find(part);
         suspects.push_back({part, count_other_crashes(record, part),
-                            begun == begun_.end() ? time_point::min() : begun->second.at});
+                            answered == answered_.end() ? time_point::min() : answered->second.at});
     }
     std::stable_sort(suspects.begin(), suspects.end(), [](const auto& a, const auto& b) {
-        return std::tie(b.crashes, a.begun_at) < std::tie(a.crashes, b.begun_at);
+        return std::tie(b.crashes, a.answered_at) < std::tie(a.crashes, b.answered_at);
     });
     std::vector<part_key> parts;
     parts.reserve(max_parts_per_crash_report);
@@ -353,11 +394,14 @@
 
 std::vector<part_clearance> crash_evidence::next_clearances(time_point now)
 {
-    std::vector<begun_part*> due;
-    for (auto& [part, it] : begun_) {
+    std::vector<answered_part*> due;
+    for (auto& [part, it] : answered_) {
         const auto age = now - it.at;
         it.is_clearance = it.is_clearance && age < clearance_lifetime;
-        if (it.is_clearance && now - it.shared_at >= share_interval(age)) {
+        const bool is_present_at_crashes = age < report_lifetime && crashes_with_.contains(part);
+        it.is_shared_first = is_present_at_crashes && it.shared_at == time_point{};
+        if ((it.is_clearance || is_present_at_crashes) &&
+            now - it.shared_at >= share_interval(age)) {
             due.push_back(&it);
         }
     }
@@ -370,135 +414,154 @@
     return clearances;
 }
 
-std::optional<part_key> crash_evidence::find_quarantined(std::span<const prompt_part> all,
-                                                         time_point now)
+/// Returns the quarantined parts that hold back a prompt with the given parts.
+std::vector<part_key> crash_evidence::all_quarantined(std::span<const prompt_part> all) const
 {
-    if (quarantined_.empty()) {
-        return std::nullopt;
-    }
-    expire(now);
+    std::vector<part_key> found_parts;
     const auto is_present = [&](part_key part) {
         return std::any_of(all.begin(), all.end(),
                            [&](const auto& it) { return it.id == part.value(); });
     };
     for (const auto& it : all) {
         const auto found = quarantined_.find(part_key{it.id});
-        if (found != quarantined_.end() &&
-            std::all_of(found->second.begin(), found->second.end(), is_present)) {
-            return part_key{it.id};
+        if (found == quarantined_.end()) {
+            continue;
+        }
+        const auto& cause = found->second;
+        if (std::all_of(cause.parts.begin(), cause.parts.end(), is_present) &&
+            (cause.narrower.empty() ||
+             std::any_of(cause.narrower.begin(), cause.narrower.end(), is_present))) {
+            found_parts.emplace_back(it.id);
         }
     }
-    return std::nullopt;
+    return found_parts;
 }
 
-duration crash_evidence::quarantine_left(part_key part, time_point now) const
+std::optional<part_key> crash_evidence::find_quarantined(std::span<const prompt_part> all,
+                                                         time_point now)
 {
-    const auto crashes = succession(part);
-    if (crashes.empty()) {
-        return duration{};
+    if (quarantined_.empty()) {
+        return std::nullopt;
     }
-    return std::max(crashes.back()->crashed_at + report_lifetime - now, duration{});
+    expire(now);
+    update_causes();
+    const auto parts = all_quarantined(all);
+    return parts.empty() ? std::nullopt : std::optional{parts.front()};
 }
 
-std::size_t crash_evidence::successive_crashes(std::span<const prompt_part> all) const
+std::optional<part_key> crash_evidence::find_trial(std::span<const prompt_part> all,
+                                                   time_point now) const
 {
-    std::size_t most = 0;
-    for (const auto& it : all) {
-        most = std::max(most, succession(part_key{it.id}).size());
+    const auto parts = all_quarantined(all);
+    if (parts.empty()) {
+        return std::nullopt;
     }
-    return most;
+    const auto& cause = quarantined_.at(parts.front());
+    const bool is_one_cause = std::all_of(parts.begin(), parts.end(), [&](auto part) {
+        return std::find(cause.parts.begin(), cause.parts.end(), part) != cause.parts.end();
+    });
+    if (!is_one_cause || !cause.is_doubtful) {
+        return std::nullopt;
+    }
+    const auto found = trials_.find(parts.front());
+    const auto last = found == trials_.end() ? trial{} : found->second;
+    const bool is_due = last.count < max_trials &&
+                        now - cause.last_crash >= first_trial_delay * (1U << last.count) &&
+                        (last.count == 0 || now - last.at >= trial_time);
+    return is_due ? std::optional{parts.front()} : std::nullopt;
 }
 
-std::vector<part_key> crash_evidence::take_new_quarantines()
+void crash_evidence::record_trial(part_key part, time_point now)
 {
-    return std::exchange(new_quarantines_, {});
+    auto& it = trials_[part];
+    ++it.count;
+    it.at = now;
 }
 
-bool crash_evidence::crash_record::may_be_due_to(part_key part) const
+duration crash_evidence::quarantine_left(part_key part, time_point now) const
 {
-    return !is_refuted && std::binary_search(parts.begin(), parts.end(), part);
+    const auto found = quarantined_.find(part);
+    if (found == quarantined_.end()) {
+        return duration{};
+    }
+    return std::max(found->second.last_crash + report_lifetime - now, duration{});
 }
 
-std::vector<const crash_evidence::crash_record*> crash_evidence::reports_of(part_key part) const
+std::size_t crash_evidence::successive_crashes(std::span<const prompt_part> all) const
 {
-    std::vector<const crash_record*> reports;
-    for (const auto& it : records_) {
-        if (it.may_be_due_to(part)) {
-            reports.push_back(&it);
+    std::size_t most = 0;
+    for (const auto& it : all) {
+        const part_key part{it.id};
+        const auto found = successive_.find(part);
+        if (found != successive_.end()) {
+            most = std::max(most, found->second);
+        }
+        else if (most == 0) {
+            most = std::any_of(records_.begin(), records_.end(),
+                               [&](const auto& record) { return record.may_be_due_to(part); });
         }
     }
-    std::sort(reports.begin(), reports.end(), [](const auto* a, const auto* b) {
-        return std::tie(a->crashed_at, a->id) < std::tie(b->crashed_at, b->id);
-    });
-    return reports;
-}
-
-/// Returns the parts that all reports of the part have in common.
-std::vector<part_key> crash_evidence::common_parts(part_key part) const
-{
-    const auto reports = reports_of(part);
-    auto common = reports.front()->parts;
-    std::erase_if(common, [&](auto other) {
-        return !std::all_of(reports.begin(), reports.end(),
-                            [&](const auto* it) { return it->may_be_due_to(other); });
-    });
-    return common;
+    return most;
 }
 
-/// Returns the longest series of crashes in which each request was sent after the crash before.
-std::vector<const crash_evidence::crash_record*> crash_evidence::succession(part_key part) const
+std::vector<part_key> crash_evidence::take_new_quarantines()
 {
-    std::vector<const crash_record*> series;
-    for (const auto* it : reports_of(part)) {
-        if (series.empty() || it->sent_at >= series.back()->crashed_at) {
-            series.push_back(it);
-        }
-    }
-    return series;
+    return std::exchange(new_quarantines_, {});
 }
 
-bool crash_evidence::is_conclusive(part_key part) const
+bool crash_evidence::crash_record::may_be_due_to(part_key part) const
 {
-    const auto series = succession(part);
-    std::set<target_key> targets;
-    for (const auto* it : series) {
-        targets.insert(it->target);
-    }
-    return series.size() >= (targets.size() > 1 ? quarantine_threshold : one_target_threshold);
+    return !is_refuted && std::binary_search(parts.begin(), parts.end(), part);
 }
 
 void crash_evidence::expire(time_point now)
 {
     const auto removed = std::erase_if(
         records_, [&](const auto& it) { return now - it.crashed_at >= report_lifetime; });
-    if (removed > 0) {
-        update_quarantine();
-    }
+    are_causes_outdated_ = are_causes_outdated_ || removed > 0;
 }
 
-void crash_evidence::update_quarantine()
+/// Finds the causes of the crashes and quarantines them, if reports or answers have changed.
+void crash_evidence::update_causes()
 {
+    if (!std::exchange(are_causes_outdated_, false)) {
+        return;
+    }
     are_named_parts_outdated_ = true;
-    std::vector<part_key> named; // Once for each report.
-    for (const auto& it : records_) {
-        named.insert(named.end(), it.parts.begin(), it.parts.end());
-    }
-    std::sort(named.begin(), named.end());
-    std::unordered_map<part_key, std::vector<part_key>> quarantined;
-    for (auto it = named.begin(); it != named.end();) {
-        const auto part = *it;
-        const auto next = std::upper_bound(it, named.end(), part);
-        const bool is_named_often = next - it >= static_cast<std::ptrdiff_t>(quarantine_threshold);
-        it = next;
-        if (!is_named_often || !is_conclusive(part)) {
+    std::vector<crash_record*> reported;
+    std::vector<lost_attempt> attempts;
+    std::unordered_set<part_key> proven;
+    for (auto& it : records_) {
+        if (it.is_refuted) {
             continue;
         }
+        reported.push_back(&it);
+        attempts.push_back({it.target, it.sent_at, it.crashed_at, it.parts});
+        for (const auto part : it.parts) {
+            if (answered_.contains(part)) {
+                proven.insert(part);
+            }
+        }
+    }
+    const crash_analysis analysis{std::move(attempts), std::move(proven)};
+    for (std::size_t n = 0; n < reported.size(); ++n) {
+        reported[n]->crash = analysis.crash_of(n);
+        reported[n]->attempts_of_crash = analysis.attempts_of(reported[n]->crash);
+    }
+    crashes_with_ = analysis.count_crashes();
+    successive_ = analysis.count_successive();
+    std::unordered_set<part_key> held_back;
+    for (const auto& [part, cause] : quarantined_) {
+        held_back.insert(cause.parts.begin(), cause.parts.end());
+    }
+    auto causes = analysis.find_causes(held_back);
+    for (const auto& [part, cause] : causes) {
         if (!quarantined_.contains(part)) {
             new_quarantines_.push_back(part);
         }
-        quarantined.emplace(part, common_parts(part));
     }
-    quarantined_ = std::move(quarantined);
+    quarantined_ = std::move(causes);
+    std::erase_if(trials_, [this](const auto& it) { return !quarantined_.contains(it.first); });
 }
 
 } // namespace endivelatch
--- a/src/traffic/traffic_answers.cpp
+++ b/src/traffic/traffic_answers.cpp
@@ -61,15 +61,11 @@
         it.first_byte_after = now_ - it.arrived_at;
     }
     if (it.route.kind == request_kind::streaming && it.answer && it.answer->is_success()) {
-        const bool had_begun = it.running->events.complete_events() > 0;
         it.running->events.feed(bytes);
         if (it.running->events.idle_bytes() > max_idle_stream_bytes) {
             end_faulty_stream(number, it, "the stream carries no events");
             return;
         }
-        if (!had_begun && it.running->events.complete_events() > 0) {
-            record_begun_answer(it);
-        }
         if (it.route.is_resumable) {
             handle_events(number, it, bytes);
             return;
--- a/src/traffic/traffic_attempts.cpp
+++ b/src/traffic/traffic_attempts.cpp
@@ -141,6 +141,7 @@
     running.target = registration.id;
     running.target_start = registration.started;
     running.sent = {now_, it.priority, chosen.prefill_tokens};
+    running.is_resumed = it.last_event.has_value();
     it.running = running;
     it.tried.insert(registration.id);
     if (it.is_counted && it.sends == 0) {
--- a/src/traffic/traffic_crashes.cpp
+++ b/src/traffic/traffic_crashes.cpp
@@ -1,29 +1,31 @@
 #include "endivelatch/base/hash.hpp"
+#include "endivelatch/traffic/shared_limit.hpp"
 #include "endivelatch/traffic/traffic_router.hpp"
 
 #include <algorithm>
 
 namespace endivelatch {
 
-/// Records that the running attempt ended with its connection before its answer began.
+/// Records that the running attempt ended with its connection before its answer was complete.
 void traffic_router::record_possible_crash(const exchange& it)
 {
-    if (!it.request->prompt || it.running->events.complete_events() > 0) {
+    if (!it.request->prompt) {
         return;
     }
     const auto id = mix_bits(stable_hash(it.request->id.str()) ^ it.running->number.value());
     crashes_.record_crash(crash_report_id{id}, key_of(it.running->target),
-                          it.request->prompt->parts, it.running->sent.at, now_);
+                          it.request->prompt->parts, it.running->sent.at, now_,
+                          it.running->events.complete_events());
     metrics_.set("crash_reports", static_cast<std::int64_t>(crashes_.report_count()));
 }
 
-void traffic_router::record_begun_answer(const exchange& it)
+/// Records that the running attempt's answer is whole. The end of a stream that another attempt
+/// began says nothing of the events before it, nor does an error of the prompt itself.
+void traffic_router::record_whole_answer(const exchange& it)
 {
-    if (!it.request->prompt || it.request->prompt->parts.empty()) {
-        return;
+    if (it.request->prompt && it.answer && it.answer->is_success() && !it.running->is_resumed) {
+        crashes_.record_whole_answer(it.request->prompt->parts, now_);
     }
-    crashes_.record_begin(shared_parts(*it.request->prompt), now_);
-    crashes_.record_begin_of_suspect(it.request->prompt->parts.back(), now_);
 }
 
 void traffic_router::on(const crash_news_received& e)
@@ -33,7 +35,8 @@
     apply_new_quarantines();
 }
 
-/// Logs parts that were quarantined and ends the attempts that would crash their targets.
+/// Logs parts that were quarantined and ends the attempts that would crash their targets. Attempts
+/// with a first byte go on: if their answers are whole, they clear the part.
 void traffic_router::apply_new_quarantines()
 {
     const auto parts = crashes_.take_new_quarantines();
@@ -49,8 +52,8 @@
     }
     std::vector<exchange_number> waiting;
     for (const auto& [number, it] : exchanges_) {
-        const bool has_begun = it.has_begun || !it.running || it.running->has_first_byte;
-        if (!has_begun && it.request->prompt &&
+        const bool awaits_answer = it.running && !it.running->has_first_byte;
+        if (awaits_answer && it.request->prompt && !it.tries_part_out &&
             crashes_.find_quarantined(it.request->prompt->parts, now_)) {
             waiting.push_back(number);
         }
@@ -63,16 +66,32 @@
 /// Refuses the request if a part of its prompt is quarantined. Returns whether it was refused.
 bool traffic_router::refuse_quarantined(exchange_number number, exchange& it)
 {
-    if (!it.request->prompt) {
+    if (!it.request->prompt || it.tries_part_out) {
         return false;
     }
     const auto part = crashes_.find_quarantined(it.request->prompt->parts, now_);
-    if (!part) {
+    if (!part || start_trial(it)) {
         return false;
     }
     metrics_.add("requests_quarantined");
+    const auto left = crashes_.quarantine_left(*part, now_);
     fail_request(number, it, it.may_have_run > 0 ? 502 : 503, "a part of the prompt is quarantined",
-                 crashes_.quarantine_left(*part, now_));
+                 std::min(left, max_quarantine_retry_after));
+    return true;
+}
+
+/// Lets the request try out a quarantined part if a trial is due at this router. Returns whether it
+/// does.
+bool traffic_router::start_trial(exchange& it)
+{
+    const auto part = crashes_.find_trial(it.request->prompt->parts, now_);
+    if (!part || it.may_have_run > 0 || sender_rank(mix_bits(part->value()), fleet_) > 0) {
+        return false;
+    }
+    it.tries_part_out = true;
+    crashes_.record_trial(*part, now_);
+    metrics_.add("quarantine_trials");
+    log(log_event{"part_tried_out"}.add("part", format_part(*part)).add("request", it.request->id));
     return true;
 }
 
--- a/src/traffic/traffic_router.cpp
+++ b/src/traffic/traffic_router.cpp
@@ -229,6 +229,9 @@
         return;
     }
     auto& running = *it->second.running;
+    if (crashes_.awaits_signs_of_life(now_)) {
+        crashes_.record_sign_of_life(key_of(running.target), now_);
+    }
     if (!running.has_first_byte) {
         running.has_first_byte = true;
         if (auto* target = target_of(it->second); target != nullptr) {
@@ -253,7 +256,7 @@
         apply_new_quarantines();
         return;
     }
-    record_begun_answer(it->second);
+    record_whole_answer(it->second);
     record_service_time(it->second);
     end_attempt(it->second, attempt_outcome::answered);
     complete_answer(e.key.exchange, it->second);
--- a/src/wire/endivelatch.thrift
+++ b/src/wire/endivelatch.thrift
@@ -212,10 +212,13 @@
   6: optional binary all_parts
 }
 
-/** An answer to a prompt with the part has begun. */
+/**
+ * An answer to a prompt with the part was whole. Builds that do not set `is_whole` report answers that have only begun.
+ */
 struct clearance_item {
   1: i64 part
   2: i32 age_ms
+  3: optional bool is_whole
 }
 
 /** The field `target` is a hash of the target's id. A negative limit means that it was lifted. */
--- a/src/wire/gossip_codec.cpp
+++ b/src/wire/gossip_codec.cpp
@@ -227,6 +227,7 @@
     thrift_wire::clearance_item out;
     out.part = to_signed(it.part.value());
     out.age_ms = to_age_ms(it.age);
+    out.__set_is_whole(true);
     return out;
 }
 
@@ -414,7 +415,9 @@
         out.crashes.reports.push_back(from_struct(crash));
     }
     for (const auto& clearance : it.clearances) {
-        out.crashes.clearances.push_back(from_struct(clearance));
+        if (clearance.is_whole) {
+            out.crashes.clearances.push_back(from_struct(clearance));
+        }
     }
     for (const auto& limit : it.limits) {
         out.limits.push_back(from_struct(limit));
--- a/tests/traffic/crash_evidence_test.cpp
+++ b/tests/traffic/crash_evidence_test.cpp
@@ -27,6 +27,14 @@
                               clock.now());
     }
 
+    /// Lets a target answer a prompt with the parts, and with a last one of its own, completely.
+    void answer(std::vector<prompt_part> parts)
+    {
+        constexpr std::uint64_t first_own_part = 1'000'000;
+        parts.push_back({first_own_part + ++last_id, 100});
+        evidence.record_whole_answer(parts, clock.now());
+    }
+
     bool is_quarantined(std::vector<prompt_part> parts)
     {
         return evidence.find_quarantined(parts, clock.now()).has_value();
@@ -49,12 +57,12 @@
     EXPECT_FALSE(is_quarantined({common, document}));
 }
 
-TEST_F(crash_evidence_test, an_answer_that_begins_clears_the_shared_part)
+TEST_F(crash_evidence_test, a_whole_answer_clears_the_shared_part)
 {
     for (std::uint32_t target = 1; target <= 5; ++target) {
         crash(target, {common, deadly});
         clock.advance(milliseconds{10});
-        evidence.record_begin(std::vector{common, document}, clock.now());
+        answer({common, document});
     }
     EXPECT_TRUE(is_quarantined({common, deadly}));
     EXPECT_TRUE(is_quarantined({deadly}));
@@ -116,7 +124,8 @@
     EXPECT_TRUE(is_quarantined({deadly, document}));
     EXPECT_FALSE(is_quarantined({document}));
     EXPECT_FALSE(is_quarantined({deadly}));
-    evidence.record_begin(std::vector{document}, clock.now() + milliseconds{1});
+    clock.advance(milliseconds{1});
+    answer({document});
     EXPECT_TRUE(is_quarantined({deadly}));
     EXPECT_FALSE(is_quarantined({document}));
 }
@@ -140,7 +149,7 @@
 {
     for (std::uint64_t n = 0; n < 10'000; ++n) {
         crash(1, {prompt_part{1'000 + n, 1}});
-        evidence.record_begin(std::vector{prompt_part{100'000 + n, 1}}, clock.now());
+        answer({prompt_part{100'000 + n, 1}});
     }
     EXPECT_LE(evidence.report_count(), crash_evidence::max_reports);
     const auto news = evidence.next_news(clock.now());
@@ -226,8 +235,8 @@
 {
     for (std::uint64_t n = 0; n < 100; ++n) {
         clock.advance(milliseconds{10});
-        evidence.record_begin(std::vector{common}, clock.now());
-        evidence.record_begin(chat_parts(n, 200), clock.now());
+        answer({common});
+        answer(chat_parts(n, 200));
         auto copy = evidence;
         copy.record_crash(crash_report_id{1}, target_key{1}, std::vector{common, deadly},
                           clock.now(), clock.now());
@@ -302,7 +311,7 @@
             const bool is_deadly = std::any_of(it.parts.begin(), it.parts.end(),
                                                [](const auto& p) { return p.id == deadly.id; });
             if (!is_deadly) {
-                fleet[it.router].record_begin(it.parts, clock.now());
+                fleet[it.router].record_whole_answer(it.parts, clock.now());
                 continue;
             }
             ++result.crashes;
--- a/tests/traffic/traffic_crashes_test.cpp
+++ b/tests/traffic/traffic_crashes_test.cpp
@@ -34,6 +34,93 @@
     EXPECT_NE(find<start_attempt>(), nullptr);
 }
 
+/// Lets the last request's attempt begin an answer and send a number of events.
+class crash_fixture : public router_fixture {
+protected:
+    exchange_attempt begin(int events)
+    {
+        const auto key = started();
+        clock.advance(milliseconds{100});
+        dispatch(answer_begun{key, success()});
+        for (int n = 1; n <= events; ++n) {
+            clock.advance(milliseconds{20});
+            dispatch(answer_bytes{key, "id: " + std::to_string(n) + "\ndata: " + std::to_string(n) +
+                                           "\n\n"});
+        }
+        return key;
+    }
+
+    /// Lets the target of the attempt close the connection.
+    void crash(const exchange_attempt& key)
+    {
+        dispatch(attempt_broken{key, attempt_stage::answering, "closed by the peer", true});
+    }
+
+    /// Sends a request and lets it be answered completely. Returns whether it was sent to a target.
+    bool answer_whole(const std::vector<std::uint64_t>& parts)
+    {
+        arrive_with_parts("stream", parts);
+        if (find<start_attempt>() == nullptr) {
+            return false;
+        }
+        dispatch(answer_finished{begin(3)});
+        return true;
+    }
+};
+
+// review/8: a part that crashes targets after the first event of an answer was never quarantined.
+TEST_F(crash_fixture, a_part_is_quarantined_at_whatever_event_its_targets_crash)
+{
+    for (const int events : {0, 1, 2, 90}) {
+        router = traffic_router{traffic_settings{}};
+        dispatch(configuration_changed{make_configuration()});
+        dispatch(targets_changed{{make_target(1), make_target(2), make_target(3)}, 1});
+        int crashes = 0;
+        for (std::uint64_t n = 0; n < 10; ++n) {
+            EXPECT_TRUE(answer_whole({1, 300 + n, 400 + n})) << events;
+            arrive_with_parts("stream", {1, 2, 100 + n, 200 + n});
+            if (find<start_attempt>() != nullptr) {
+                crash(begin(events));
+                ++crashes;
+            }
+            clock.advance(seconds{9}); // Ejections end.
+        }
+        EXPECT_EQ(crashes, 3) << events;
+    }
+}
+
+// review/9: a sound request that ran at one of the crashed targets had its first part, which few
+// requests share, refused for the time of the quarantine.
+TEST_F(crash_fixture, a_sound_part_present_at_a_crash_beside_the_deadly_one_is_served)
+{
+    for (std::uint64_t n = 0; n < 20; ++n) {
+        EXPECT_TRUE(answer_whole({1, 300 + n}));
+        clock.advance(milliseconds{2'400});
+    }
+    arrive_with_parts("stream", {1, 400});
+    const auto sound = started();
+    for (std::uint64_t n = 0; n < 10; ++n) {
+        clock.advance(milliseconds{100});
+        arrive_with_parts("stream", {2, 1, 200 + n});
+        const auto key = started();
+        if (find<start_attempt>() == nullptr) {
+            break;
+        }
+        clock.advance(milliseconds{200});
+        dispatch(attempt_broken{key, attempt_stage::sent, "closed by the peer", true});
+        if (n == 0) {
+            dispatch(attempt_broken{sound, attempt_stage::sent, "closed by the peer", true});
+        }
+    }
+    clock.advance(seconds{9});
+    for (std::uint64_t n = 0; n < 20; ++n) {
+        EXPECT_TRUE(answer_whole({1, 500 + n})) << n;
+        arrive_with_parts("stream", {2, 1, 600 + n});
+        EXPECT_EQ(find<start_attempt>(), nullptr) << n;
+        clock.advance(milliseconds{2'400});
+    }
+}
+
 TEST_F(router_fixture, a_request_present_at_two_successive_crashes_is_not_retried)
 {
     arrive_with_parts("resumable", {1, 2, 100});
