--- a/include/endivelatch/traffic/crash_evidence.hpp
+++ b/include/endivelatch/traffic/crash_evidence.hpp
@@ -99,10 +99,10 @@
     /// Successive crashes from which requests that may have caused the last one are not retried.
     static constexpr std::size_t no_retry_threshold = 2;
     /// Time from the last crash to the first trial of a doubtful part, which doubles with each
-    /// trial, the number of trials, and the minimum time between two.
+    /// trial, the maximum number of trials, and the minimum time between two.
     static constexpr duration first_trial_delay{3'000'000};
     static constexpr std::uint32_t max_trials = 2;
-    static constexpr duration trial_time{10'000'000};
+    static constexpr duration min_trial_interval{10'000'000};
     /// Age at which a crash report expires. A single crash after the quarantine starts it again
     /// while other reports are left.
     static constexpr duration report_lifetime{600'000'000};
@@ -119,8 +119,8 @@
     /// Interval at which a report or clearance is shared: a tenth of its age, within these bounds.
     static constexpr duration min_share_interval{100'000};
     static constexpr duration max_share_interval{300'000};
-    /// Maximum number of reports, of crashes with the same quarantined part, and of parts whose
-    /// answers are remembered.
+    /// Maximum number of reports, of crashes with the same quarantined part, of parts whose answers
+    /// are remembered, and of answers that await a sign of life.
     static constexpr std::size_t max_reports = 128;
     static constexpr std::size_t max_crashes_per_part = 8;
     static constexpr std::size_t max_answered_parts = 4'096;
@@ -142,7 +142,7 @@
         /// A part that may be shared was in no whole answer, or another router reported the crash.
         bool suspects_shared_part = true;
         bool is_refuted = false;
-        std::size_t crash = 0;             ///< Crash that ended it, as of the last analysis.
+        std::size_t crash = 0;             ///< Index of its crash in the last analysis.
         std::size_t attempts_of_crash = 1; ///< Reports of that crash.
         time_point shared_at{};       ///< Zero if not shared with the parts to name at present.
         std::vector<part_key> named;  ///< Parts to name when it is shared.
@@ -189,6 +189,7 @@
     std::vector<crash_report> next_reports(time_point now);
     std::vector<part_clearance> next_clearances(time_point now);
     void expire(time_point now);
+    crash_analysis analyse();
     void update_causes();
     std::vector<part_key> all_quarantined(std::span<const prompt_part> all) const;
 
--- a/src/traffic/crash_analysis.cpp
+++ b/src/traffic/crash_analysis.cpp
@@ -80,6 +80,7 @@
     }
 }
 
+/// Finds the parts that were present at several crashes, those of the same attempts together.
 void crash_analysis::find_suspects()
 {
     std::vector<std::pair<part_key, std::size_t>> present;
@@ -156,6 +157,7 @@
     return series;
 }
 
+/// Returns the number of the crashes that are `min_separation` or more after the one before.
 std::size_t crash_analysis::count_separate(const indices& crashes) const
 {
     std::size_t count = 0;
@@ -169,6 +171,7 @@
     return count;
 }
 
+/// Returns whether the crashes are enough to take the suspect for their cause.
 bool crash_analysis::is_conclusive(const suspect& it, const indices& crashes) const
 {
     const auto series = succession(it, crashes);
--- a/src/traffic/crash_evidence.cpp
+++ b/src/traffic/crash_evidence.cpp
@@ -526,10 +526,10 @@
         return std::nullopt;
     }
     const auto found = trials_.find(parts.front());
-    const auto last = found == trials_.end() ? trial{} : found->second;
-    const bool is_due = last.count < max_trials &&
-                        now - cause.last_crash >= first_trial_delay * (1U << last.count) &&
-                        (last.count == 0 || now - last.at >= trial_time);
+    const auto before = found == trials_.end() ? trial{} : found->second;
+    const bool is_due = before.count < max_trials &&
+                        now - cause.last_crash >= first_trial_delay * (1U << before.count) &&
+                        (before.count == 0 || now - before.at >= min_trial_interval);
     return is_due ? std::optional{parts.front()} : std::nullopt;
 }
 
@@ -583,13 +583,9 @@
     are_causes_outdated_ = are_causes_outdated_ || removed > 0;
 }
 
-/// Finds the causes of the crashes and quarantines them, if reports or answers have changed.
-void crash_evidence::update_causes()
+/// Analyses the reports that are not refuted, and records the crash of each.
+crash_analysis crash_evidence::analyse()
 {
-    if (!std::exchange(are_causes_outdated_, false)) {
-        return;
-    }
-    are_named_parts_outdated_ = true;
     std::vector<crash_record*> reported;
     std::vector<lost_attempt> attempts;
     std::unordered_set<part_key> proven;
@@ -605,11 +601,22 @@
             }
         }
     }
-    const crash_analysis analysis{std::move(attempts), std::move(proven)};
+    crash_analysis analysis{std::move(attempts), std::move(proven)};
     for (std::size_t n = 0; n < reported.size(); ++n) {
         reported[n]->crash = analysis.crash_of(n);
         reported[n]->attempts_of_crash = analysis.attempts_of(reported[n]->crash);
     }
+    return analysis;
+}
+
+/// Finds the causes of the crashes and quarantines them, if reports or answers have changed.
+void crash_evidence::update_causes()
+{
+    if (!std::exchange(are_causes_outdated_, false)) {
+        return;
+    }
+    are_named_parts_outdated_ = true;
+    const auto analysis = analyse();
     crashes_with_ = analysis.count_crashes();
     successive_ = analysis.count_successive();
     std::unordered_set<part_key> held_back;
