Crash evidence: take unconfirmed answers out before they are judged

The predicate of an erase moved from the elements that it was asked about, which the standard does not allow.

--- a/include/endivelatch/traffic/crash_evidence.hpp
+++ b/include/endivelatch/traffic/crash_evidence.hpp
@@ -175,7 +175,9 @@
 
     void add(const lost_request& request, time_point crashed_at, time_point now);
     void add(crash_record&& record, time_point now);
-    void add_unconfirmed_of(target_key target, time_point from, time_point to, time_point now);
+    std::vector<unconfirmed_answer> take_unconfirmed(target_key target, time_point from,
+                                                     time_point to);
+    void add_unconfirmed(target_key target, time_point from, time_point to, time_point now);
     void update(crash_record& known, const crash_report& news);
     void remove_least_useful();
     void limit_answered_parts(time_point now);
--- a/src/traffic/crash_evidence.cpp
+++ b/src/traffic/crash_evidence.cpp
@@ -1,6 +1,7 @@
 #include "endivelatch/traffic/crash_evidence.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <tuple>
 #include <unordered_set>
 #include <utility>
@@ -52,7 +53,7 @@
 void crash_evidence::record_crash(const lost_request& request, time_point now)
 {
     add(request, now, now);
-    add_unconfirmed_of(request.target, now - crash_analysis::max_report_skew, now, now);
+    add_unconfirmed(request.target, now - crash_analysis::max_report_skew, now, now);
     update_causes();
 }
 
@@ -71,7 +72,7 @@
                now - it.crashed_at < crash_analysis::max_report_skew;
     });
     if (has_crashed) {
-        add_unconfirmed_of(target, now, now, now);
+        add_unconfirmed(target, now, now, now);
         update_causes();
     }
 }
@@ -79,22 +80,32 @@
 void crash_evidence::record_unreachable(target_key target, time_point now)
 {
     if (!unconfirmed_.empty()) {
-        add_unconfirmed_of(target, now - max_refutation_delay, now, now);
+        add_unconfirmed(target, now - max_refutation_delay, now, now);
         update_causes();
     }
 }
 
+/// Removes and returns the unconfirmed answers of the target that ended in the given time.
+std::vector<crash_evidence::unconfirmed_answer>
+crash_evidence::take_unconfirmed(target_key target, time_point from, time_point to)
+{
+    const auto first = std::stable_partition(
+        unconfirmed_.begin(), unconfirmed_.end(), [&](const unconfirmed_answer& it) {
+            return it.request.target != target || it.ended_at < from || it.ended_at > to;
+        });
+    std::vector<unconfirmed_answer> taken{std::make_move_iterator(first),
+                                          std::make_move_iterator(unconfirmed_.end())};
+    unconfirmed_.erase(first, unconfirmed_.end());
+    return taken;
+}
+
 /// Adds the unconfirmed answers of the target that ended in the given time as crashes.
-void crash_evidence::add_unconfirmed_of(target_key target, time_point from, time_point to,
-                                        time_point now)
+void crash_evidence::add_unconfirmed(target_key target, time_point from, time_point to,
+                                     time_point now)
 {
-    std::erase_if(unconfirmed_, [&](const auto& it) {
-        if (it.request.target != target || it.ended_at < from || it.ended_at > to) {
-            return false;
-        }
+    for (const auto& it : take_unconfirmed(target, from, to)) {
         add(it.request, it.ended_at, now);
-        return true;
-    });
+    }
 }
 
 /// Adds a report of a crash that this router saw.
@@ -299,17 +310,8 @@
         are_causes_outdated_ = true;
         update_causes();
     }
-    std::vector<unconfirmed_answer> confirmed;
-    std::erase_if(unconfirmed_, [&](auto& it) {
-        const auto delay = at - it.ended_at;
-        const bool is_alive = it.request.target == target && delay > min_refutation_delay &&
-                              delay <= max_refutation_delay;
-        if (is_alive) {
-            confirmed.push_back(std::move(it));
-        }
-        return is_alive;
-    });
-    for (const auto& it : confirmed) {
+    for (const auto& it :
+         take_unconfirmed(target, at - max_refutation_delay, at - min_refutation_delay)) {
         record_whole_answer(it.request.parts, it.ended_at);
     }
 }
@@ -348,8 +350,8 @@
         record.all_parts = it.all_parts;
         sort_unique(record.parts);
         last_end_at_ = std::max(last_end_at_, record.crashed_at);
-        add_unconfirmed_of(record.target, record.crashed_at - crash_analysis::max_report_skew,
-                           record.crashed_at + crash_analysis::max_report_skew, now);
+        add_unconfirmed(record.target, record.crashed_at - crash_analysis::max_report_skew,
+                        record.crashed_at + crash_analysis::max_report_skew, now);
         add(std::move(record), now);
     }
     update_causes();
