--- a/tests/traffic/crash_fleet.hpp
+++ b/tests/traffic/crash_fleet.hpp
@@ -24,7 +24,7 @@
     duration answer_time{1'000'000};
     double rare_per_second = 0.2; ///< Sound requests with a first part that only deadly ones share.
     double accidents_per_second = 0; ///< Crashes of targets that no request causes.
-    std::size_t lost_at_once = 0;    ///< Targets that fail together, 10 s after the start.
+    std::size_t lost_at_once = 0;    ///< Targets that fail together, 0.5 s into the deadly ones.
     bool has_history = true;         ///< Sound requests came for 20 s before the first deadly one.
     std::uint64_t seed = 1;
 };
