--- a/include/endivelatch/entry/call_client.hpp
+++ b/include/endivelatch/entry/call_client.hpp
@@ -12,6 +12,7 @@
 /// A complete answer to a call.
 struct call_reply {
     int status = 0;
+    http_headers headers;
     std::string body;
 };
 
@@ -29,6 +30,7 @@
     std::string target;
     std::string body;
     duration timeout{};
+    http_headers headers = {}; ///< Besides those of every call.
 };
 
 /// Calls the platform's store and other routers over persistent connections.
--- a/include/endivelatch/entry/copy_query.hpp
+++ b/include/endivelatch/entry/copy_query.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "endivelatch/entry/protocol.hpp"
+#include "endivelatch/http1/http_header.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -10,10 +11,10 @@
 
 namespace endivelatch {
 
-/// Query to another router for its copy as soon as that is newer than a revision.
+/// Query to another router for its copy as soon as that is newer than a position.
 struct copy_query {
     object_kind kind = object_kind::configuration;
-    store_revision newer_than;
+    store_position newer_than;
     bool from_watcher = false;    ///< Only a router that watches the store may answer.
     bool accepts_changes = false; ///< The answer may hold only the changes since the revision.
     bool small_only = false;      ///< Do not send a large copy, which would load the link.
@@ -48,10 +49,19 @@
 inline constexpr std::size_t default_max_small_copy_size = 65'536;
 
 /// Returns the path and query, such as `/copy/targets?newer-than=7`. The parameters
-/// `&from-watcher`, `&changes` and `&small` may follow, in this order.
+/// `&from-watcher`, `&changes` and `&small` may follow, in this order. The era is in a header; see
+/// `write_copy_era`.
 std::string write_copy_query(const copy_query& query);
 
-/// Parses a path and query. Returns nothing if it is not a valid copy query.
-std::optional<copy_query> read_copy_query(std::string_view target);
+/// Parses a path and query, and the era in the headers. Returns nothing if it is not a valid copy
+/// query.
+std::optional<copy_query> read_copy_query(std::string_view target, const http_headers& headers);
+
+/// Returns the headers of a query or an answer that state the era of its position: none for a store
+/// without eras. Routers of earlier versions ignore the header.
+http_headers write_copy_era(store_era era);
+
+/// Reads the era from the headers of a query or an answer; zero if none is stated.
+store_era read_copy_era(const http_headers& headers);
 
 } // namespace endivelatch
--- a/include/endivelatch/entry/entry_process.hpp
+++ b/include/endivelatch/entry/entry_process.hpp
@@ -91,6 +91,7 @@
     void start_reading_evacuations();
     void evacuations_updated();
     std::vector<object_kind> kinds_read() const;
+    void learn_era(store_era era);
     void announce();
     void find_peers();
     void on_pause(duration delay);
@@ -161,6 +162,7 @@
     std::map<std::string, store_revision>
         unreadable_revisions_; ///< Of the invalid registrations, which were logged.
     bool reads_evacuations_ = false;
+    store_era era_; ///< Latest known of the store.
     std::map<std::string_view, refusal_counts> reported_refusals_; ///< By address.
     bool was_ready_ = false;
     bool is_stopping_ = false;
--- a/include/endivelatch/entry/entry_process_life.hpp
+++ b/include/endivelatch/entry/entry_process_life.hpp
@@ -67,6 +67,7 @@
                                                 mirror_settings{},
                                                 stable_hash(settings.id.str()),
                                                 {[this] { configuration_updated(); },
+                                                 [this](store_era era) { learn_era(era); },
                                                  [this] { return fleet_.live_peers(); },
                                                  [this] { return fleet_.watchers_to_follow(); },
                                                  [this] { return fleet_.is_joining(); },
@@ -79,7 +80,8 @@
                      mirror_settings{.removal_grace = std::chrono::milliseconds{1'800},
                                      .first_list_may_be_stale = true},
                      stable_hash(settings.id.str()) + 1,
-                     {[this] { targets_updated(); }, [this] { return fleet_.live_peers(); },
+                     {[this] { targets_updated(); }, [this](store_era era) { learn_era(era); },
+                      [this] { return fleet_.live_peers(); },
                       [this] { return fleet_.watchers_to_follow(); },
                       [this] { return fleet_.is_joining(); },
                       [this](log_event&& e) { write(std::move(e)); }}},
@@ -89,7 +91,9 @@
                          settings.store,
                          mirror_settings{.first_list_may_be_stale = true, .may_be_absent = true},
                          stable_hash(settings.id.str()) + 2,
-                         {[this] { evacuations_updated(); }, [this] { return fleet_.live_peers(); },
+                         {[this] { evacuations_updated(); },
+                          [this](store_era era) { learn_era(era); },
+                          [this] { return fleet_.live_peers(); },
                           [this] { return fleet_.watchers_to_follow(); },
                           [this] { return fleet_.is_joining(); },
                           [this](log_event&& e) { write(std::move(e)); }}},
@@ -103,8 +107,9 @@
                       mirror_of(kind).on_peers_changed();
                   }
               },
-              [this](object_kind kind, const member& holder, store_revision revision) {
-                  mirror_of(kind).on_newer_copy(holder.link, revision);
+              [this](object_kind kind, const member& holder, store_position position) {
+                  learn_era(position.era);
+                  mirror_of(kind).on_newer_copy(holder.link, position);
               },
               [this](std::vector<received_load>&& loads) {
                   deliver(loads_received{std::move(loads)});
@@ -251,11 +256,12 @@
 template <entry_protocol Protocol>
 void entry_process<Protocol>::on_peer_request(exchange_number id, const request_head& head)
 {
-    const auto query = read_copy_query(head.target);
+    const auto query = read_copy_query(head.target, head.headers);
     if (!query) {
         peer_server_.respond(id, 404, {}, {});
         return;
     }
+    learn_era(query->newer_than.era);
     const auto& copy = mirror_of(query->kind);
     if (query->from_watcher && !copy.watches_store()) {
         peer_server_.respond(id, copy_answer::not_watching, {}, {});
@@ -282,13 +288,15 @@
 bool entry_process<Protocol>::answer_copy(exchange_number id, const copy_query& query)
 {
     const auto& copy = mirror_of(query.kind);
-    if (!copy.mirror().is_exact() || copy.mirror().revision() <= query.newer_than) {
+    if (!copy.mirror().is_exact() || copy.mirror().position() <= query.newer_than) {
         return false;
     }
     const auto answer = copy.answer(query, max_small_copy_size(settings_.link_rate));
     router_.metrics().add("copies_sent", 1, "status=\"" + std::to_string(answer.status) + '"');
     router_.metrics().add("copy_bytes_sent", answer.body.size());
-    peer_server_.respond(id, answer.status, {{"Content-Type", "application/json"}}, answer.body);
+    auto headers = write_copy_era(copy.mirror().position().era);
+    headers.push_back({"Content-Type", "application/json"});
+    peer_server_.respond(id, answer.status, headers, answer.body);
     return true;
 }
 
@@ -322,7 +330,7 @@
 void entry_process<Protocol>::configuration_updated()
 {
     const auto& objects = configuration_mirror_.mirror().objects();
-    fleet_.publish_copy(object_kind::configuration, configuration_mirror_.mirror().revision());
+    fleet_.publish_copy(object_kind::configuration, configuration_mirror_.mirror().position());
     answer_copy_waiters();
     if (objects.empty()) {
         return;
@@ -350,10 +358,11 @@
 void entry_process<Protocol>::targets_updated()
 {
     const auto& mirror = target_mirror_.mirror();
-    fleet_.publish_copy(object_kind::targets, mirror.revision());
+    fleet_.publish_copy(object_kind::targets, mirror.position());
     answer_copy_waiters();
     targets_changed changed;
-    changed.revision = mirror.revision().value();
+    changed.revision = mirror.position().revision.value();
+    changed.restored_at = mirror.restored_at();
     std::set<endpoint> addresses;
     const auto logged_revisions = std::exchange(unreadable_revisions_, {});
     for (const auto* object : mirror.objects_in_use()) {
@@ -388,9 +397,9 @@
 void entry_process<Protocol>::evacuations_updated()
 {
     const auto& mirror = evacuation_mirror_.mirror();
-    fleet_.publish_copy(object_kind::evacuations, mirror.revision());
+    fleet_.publish_copy(object_kind::evacuations, mirror.position());
     answer_copy_waiters();
-    evacuations_changed changed{{}, mirror.revision().value()};
+    evacuations_changed changed{{}, mirror.position().revision.value()};
     for (const auto* object : mirror.objects_in_use()) {
         changed.domains.insert(Protocol::read_evacuation(*object));
     }
@@ -408,6 +417,22 @@
     return kinds;
 }
 
+/// Tells all copies the store's era. What this router had registered may be lost in a later one.
+template <entry_protocol Protocol>
+void entry_process<Protocol>::learn_era(store_era era)
+{
+    if (era <= era_) {
+        return;
+    }
+    const bool is_first = std::exchange(era_, era) == store_era{};
+    for (const auto kind : kinds_read()) {
+        mirror_of(kind).on_era(era);
+    }
+    if (!is_first && !is_stopping_) {
+        announce();
+    }
+}
+
 template <entry_protocol Protocol>
 void entry_process<Protocol>::announce()
 {
@@ -431,6 +456,9 @@
         {settings_.store, call.method, call.target, call.body, call_timeout},
         [this](call_outcome&& outcome) {
             const auto* reply = std::get_if<call_reply>(&outcome);
+            if (reply != nullptr) {
+                learn_era(Protocol::read_store_era(reply->headers));
+            }
             const auto page = reply == nullptr
                                   ? result<object_page>{one_finding("store", "no answer")}
                                   : Protocol::read_page(reply->body);
@@ -494,7 +522,9 @@
         const auto labels = "kind=\"" + std::string{to_string(kind)} + '"';
         const auto& mirror = mirror_of(kind).mirror();
         metrics.set("store_connected", mirror.is_connected() ? 1 : 0, labels);
-        metrics.set("copy_revision", static_cast<std::int64_t>(mirror.revision().value()), labels);
+        const auto position = mirror.position();
+        metrics.set("copy_revision", static_cast<std::int64_t>(position.revision.value()), labels);
+        metrics.set("copy_era", static_cast<std::int64_t>(position.era.value()), labels);
     }
     metrics.set("requests_active", static_cast<std::int64_t>(router_.active()));
     metrics.set("caller_connections", static_cast<std::int64_t>(caller_server_.connections()));
--- a/include/endivelatch/entry/fleet_view.hpp
+++ b/include/endivelatch/entry/fleet_view.hpp
@@ -44,8 +44,8 @@
 /// Callbacks of a fleet view. All must be set.
 struct fleet_view_callbacks {
     std::function<void()> on_members_changed;
-    /// Another router announced which revision of the objects it holds.
-    std::function<void(object_kind, const member&, store_revision)> on_newer_copy;
+    /// Another router announced the position of its copy.
+    std::function<void(object_kind, const member&, store_position)> on_newer_copy;
     /// Other routers reported loads of targets that are newer than the known ones.
     std::function<void(std::vector<received_load>&&)> on_loads;
     /// Other routers reported failures of targets that are newer than the known ones.
@@ -83,8 +83,8 @@
     /// Announces to the other routers whether this one accepts requests.
     void publish_ready(bool is_ready);
 
-    /// Announces which revision of a copy this router holds.
-    void publish_copy(object_kind kind, store_revision revision);
+    /// Announces the position of this router's copy.
+    void publish_copy(object_kind kind, store_position position);
 
     /// Announces a load that a target has just reported.
     void publish_load(const share_load& load);
--- a/include/endivelatch/entry/mirror_client.hpp
+++ b/include/endivelatch/entry/mirror_client.hpp
@@ -23,6 +23,8 @@
 /// Callbacks of a mirror client. All must be set.
 struct mirror_client_callbacks {
     std::function<void()> on_updated;
+    /// The store stated an era in an answer, or another router in a query.
+    std::function<void(store_era)> on_era;
     std::function<std::vector<endpoint>()> peers; ///< Returns the other live routers.
     /// Returns the routers that watch the store, the preferred one last; none if this router is a
     /// watcher.
@@ -58,22 +60,30 @@
     void refresh()
     {
         delayed_watch_.reset();
-        if (call_) {
-            calls_->cancel(*call_);
-            call_.reset();
-        }
+        cancel_call();
         apply(mirror_.start(now()));
     }
 
+    /// Called when the store's era has become known, from any answer of the store or another
+    /// router. Reads all objects again if the copy is of an earlier era.
+    void on_era(store_era era)
+    {
+        if (!begin_era(era) || !watches_store_ || !mirror_.is_connected()) {
+            return; // The followed watcher, or the next call, brings the copy of this era.
+        }
+        cancel_call();
+        apply(mirror_.read_era(now()));
+    }
+
     /// Called when a peer announced a newer copy. Reads the copy from the peer, unless the store
     /// delivers it soon.
-    void on_newer_copy(const endpoint& peer, store_revision revision)
+    void on_newer_copy(const endpoint& peer, store_position position)
     {
-        if (revision <= mirror_.revision() || !mirror_.is_connected()) {
+        if (position <= mirror_.position() || !mirror_.is_connected()) {
             return; // While the store is unavailable, peers are queried continuously.
         }
         newer_copy_peer_ = peer;
-        newer_copy_revision_ = revision;
+        newer_copy_position_ = position;
         if (!peer_timer_.is_active()) {
             peer_timer_.start(peer_delay());
         }
@@ -111,7 +121,7 @@
             return {copy_answer::changes, Protocol::write_changes(*changes)};
         }
         object_page page;
-        page.revision = mirror_.revision();
+        page.position = mirror_.position();
         for (const auto& [name, object] : mirror_.objects()) {
             page.objects.push_back(object);
         }
@@ -187,7 +197,7 @@
     void on_join_timer()
     {
         if (const auto e = std::exchange(delayed_watch_, std::nullopt)) {
-            watch({mirror_.revision(), e->wait});
+            watch({mirror_.position(), e->wait});
         }
     }
 
@@ -203,9 +213,14 @@
         watches_store_ = false;
         const auto watcher = watchers.back();
         watchers.pop_back();
-        const copy_query query{kind_, mirror_.revision(), true, mirror_.is_exact(), true};
+        const copy_query query{kind_, mirror_.position(), true, mirror_.is_exact(), true};
         call_ = calls_->call(
-            {watcher, "GET", write_copy_query(query), {}, wait_of(query) + follow_timeout_margin},
+            {watcher,
+             "GET",
+             write_copy_query(query),
+             {},
+             wait_of(query) + follow_timeout_margin,
+             write_copy_era(query.newer_than.era)},
             [this, e, has_lost_watcher, since = query.newer_than, asked_at = now(),
              others = std::move(watchers)](call_outcome&& outcome) mutable {
                 call_.reset();
@@ -227,38 +242,42 @@
     void watch_without_watcher(const watch_objects& e, bool has_lost_watcher)
     {
         if (!has_lost_watcher || probes_.is_due(callbacks_.peers().size(), now())) {
-            watch_store({mirror_.revision(), e.wait});
+            watch_store({mirror_.position(), e.wait});
             return;
         }
         report_failure("no watcher reaches the store");
     }
 
-    void handle_watcher_answer(const call_outcome& outcome, store_revision since,
+    void handle_watcher_answer(const call_outcome& outcome, store_position since,
                                const watch_objects& e)
     {
         const auto* reply = std::get_if<call_reply>(&outcome);
         const bool is_unchanged = reply != nullptr && reply->status == copy_answer::nothing_newer;
-        if (is_unchanged || (reply != nullptr && apply_copy(*reply, since))) {
+        const bool is_newer =
+            reply != nullptr && apply_copy(*reply, since) && mirror_.position() > since;
+        if (is_unchanged || is_newer) {
             probes_.reset();
             report_success();
-            apply(mirror_.handle_response(object_changes{{}, mirror_.revision()}, now()));
+            apply(mirror_.handle_confirmation(now()));
             return;
         }
-        watch_store({mirror_.revision(), e.wait});
+        watch_store({mirror_.position(), e.wait});
     }
 
     /// Applies a copy, or the changes in it since a revision, received from another router. Returns
     /// whether the answer was valid.
-    bool apply_copy(const call_reply& reply, store_revision since)
+    bool apply_copy(const call_reply& reply, store_position since)
     {
+        const auto era = read_copy_era(reply.headers);
         if (reply.status == copy_answer::changes) {
             auto changes = Protocol::read_changes(reply.body);
             if (!has_value(changes)) {
                 log("copy_not_read", to_string(findings_of(changes)));
                 return false;
             }
-            apply(mirror_.merge_peer_copy(std::get<object_changes>(std::move(changes)), since,
-                                          now()));
+            auto& newer = std::get<object_changes>(changes);
+            newer.position.era = era;
+            apply(mirror_.merge_peer_copy(std::move(newer), since, now()));
             return true;
         }
         if (reply.status != copy_answer::whole) {
@@ -269,7 +288,9 @@
             log("copy_not_read", to_string(findings_of(page)));
             return false;
         }
-        apply(mirror_.merge_peer_copy(std::get<object_page>(std::move(page)), now()));
+        auto& copy = std::get<object_page>(page);
+        copy.position.era = era;
+        apply(mirror_.merge_peer_copy(std::move(copy), now()));
         return true;
     }
 
@@ -283,7 +304,7 @@
     {
         watches_store_ = true;
         watch_started_at_ = now();
-        send(Protocol::watch_call(kind_, e.after, e.wait), e.wait + watch_timeout_margin,
+        send(Protocol::watch_call(kind_, e.after.revision, e.wait), e.wait + watch_timeout_margin,
              [this](const std::string& body) {
                  probes_.record_call(true);
                  return update_mirror(Protocol::read_changes(body));
@@ -300,26 +321,39 @@
                                      report_failure(failure->reason);
                                      return;
                                  }
-                                 const auto& reply = std::get<call_reply>(outcome);
-                                 if (reply.status == history_gone_status) {
-                                     log("store_history_gone", "");
-                                     apply(mirror_.handle_history_expired(now()));
-                                 }
-                                 else if (reply.status == kind_absent_status &&
-                                          mirror_.may_be_absent()) {
-                                     report_success();
-                                     apply(mirror_.handle_kind_absent(now()));
-                                 }
-                                 else if (reply.status != store_ok_status) {
-                                     report_failure("status " + std::to_string(reply.status));
-                                 }
-                                 else {
-                                     report_success();
-                                     apply(handle_body(reply.body));
-                                 }
+                                 handle_store_reply(std::get<call_reply>(outcome), handle_body);
                              });
     }
 
+    template <class Handler>
+    void handle_store_reply(const call_reply& reply, Handler handle_body)
+    {
+        const auto era = Protocol::read_store_era(reply.headers);
+        begin_era(era);
+        callbacks_.on_era(era); // For the copies of the other kinds.
+        if (era != store_era{} && era < mirror_.era()) {
+            report_failure("an answer of era " + std::to_string(era.value()) + " while era " +
+                           std::to_string(mirror_.era().value()) + " is known");
+        }
+        else if (reply.status == history_gone_status) {
+            log("store_history_gone", "");
+            apply(mirror_.handle_history_expired(now()));
+        }
+        else if (reply.status == kind_absent_status && mirror_.may_be_absent()) {
+            report_success();
+            apply(mirror_.handle_kind_absent(now()));
+        }
+        else if (reply.status != store_ok_status) {
+            report_failure("status " + std::to_string(reply.status));
+        }
+        else {
+            report_success();
+            apply(handle_body(reply.body));
+        }
+    }
+
+    /// Passes a page or changes of the store to the mirror. An answer without an era counts as one
+    /// of the known era.
     template <class T>
     mirror_effects update_mirror(result<T>&& read)
     {
@@ -327,7 +361,29 @@
             report_failure(to_string(findings_of(read)));
             return {};
         }
-        return mirror_.handle_response(std::get<T>(std::move(read)), now());
+        auto& answer = std::get<T>(read);
+        answer.position.era = mirror_.era();
+        return mirror_.handle_response(std::move(answer), now());
+    }
+
+    /// Records the store's era. Returns whether the copy has become outdated.
+    bool begin_era(store_era era)
+    {
+        const auto former = mirror_.era();
+        if (!mirror_.begin_era(era, now())) {
+            return false;
+        }
+        log("store_era_began",
+            "era " + std::to_string(era.value()) + " after " + std::to_string(former.value()));
+        return true;
+    }
+
+    void cancel_call()
+    {
+        if (call_) {
+            calls_->cancel(*call_);
+            call_.reset();
+        }
     }
 
     void report_failure(const std::string& reason)
@@ -354,7 +410,7 @@
         if (!mirror_.is_connected()) {
             query_any_peer();
         }
-        else if (newer_copy_revision_ > mirror_.revision()) {
+        else if (newer_copy_position_ > mirror_.position()) {
             query_peer(newer_copy_peer_);
         }
     }
@@ -382,15 +438,20 @@
         // A newer copy shows a stalled watch only if the store was connected at the time of the
         // query.
         const bool was_connected = mirror_.is_connected();
-        const copy_query query{kind_, mirror_.revision(), false, mirror_.is_exact(), was_connected};
-        calls_->call({peer, "GET", write_copy_query(query), {}, peer_wait + watch_timeout_margin},
+        const copy_query query{kind_, mirror_.position(), false, mirror_.is_exact(), was_connected};
+        calls_->call({peer,
+                      "GET",
+                      write_copy_query(query),
+                      {},
+                      peer_wait + watch_timeout_margin,
+                      write_copy_era(query.newer_than.era)},
                      [this, peer, since = query.newer_than, was_connected](call_outcome&& outcome) {
                          is_querying_peer_ = false;
                          handle_peer_answer(peer, outcome, since, was_connected);
                      });
     }
 
-    void handle_peer_answer(const endpoint& peer, const call_outcome& outcome, store_revision since,
+    void handle_peer_answer(const endpoint& peer, const call_outcome& outcome, store_position since,
                             bool was_connected)
     {
         const auto* reply = std::get_if<call_reply>(&outcome);
@@ -430,9 +491,8 @@
             restart_watch();
             return;
         }
-        calls_->cancel(*call_);
-        call_.reset();
-        watch_store({mirror_.revision(), peer_wait});
+        cancel_call();
+        watch_store({mirror_.position(), peer_wait});
     }
 
     /// Cancels the watch, which has not delivered a change that a peer already holds and may have
@@ -447,8 +507,7 @@
             return;
         }
         if (mirror_.is_connected() && call_) {
-            calls_->cancel(*call_);
-            call_.reset();
+            cancel_call();
             report_failure("a router holds a newer copy");
             return;
         }
@@ -459,7 +518,7 @@
     {
         callbacks_.on_log(log_event{std::move(name)}
                               .add("kind", to_string(kind_))
-                              .add("revision", mirror_.revision().value())
+                              .add("revision", to_string(mirror_.position()))
                               .add("reason", reason));
     }
 
@@ -495,7 +554,7 @@
     mirror_client_callbacks callbacks_;
     std::optional<outgoing_id> call_;
     endpoint newer_copy_peer_; ///< Announced a newer copy.
-    store_revision newer_copy_revision_;
+    store_position newer_copy_position_;
     bool is_querying_peer_ = false;
     bool watches_store_ = false;
     time_point watch_started_at_{};
--- a/include/endivelatch/entry/protocol.hpp
+++ b/include/endivelatch/entry/protocol.hpp
@@ -48,6 +48,7 @@
                                   const refuse_request& refusal, const entry_settings& settings,
                                   const mirrored_object& object, const object_page& page,
                                   const object_changes& changes, const list_objects& list,
+                                  const http_headers& headers,
                                   const std::vector<endpoint>& addresses, duration time)
 {
     // clang-format off
@@ -61,6 +62,7 @@
     { P::write_entry_list(addresses, time) } -> std::same_as<std::string>;
     { P::list_call(object_kind{}, list) } -> std::same_as<store_call>;
     { P::watch_call(object_kind{}, store_revision{}, time) } -> std::same_as<store_call>;
+    { P::read_store_era(headers) } -> std::same_as<store_era>;
     { P::register_router_call(settings) } -> std::same_as<store_call>;
     { P::forget_router_call(settings) } -> std::same_as<store_call>;
     { P::read_page(text) } -> std::same_as<result<object_page>>;
--- a/include/endivelatch/mirror/object_mirror.hpp
+++ b/include/endivelatch/mirror/object_mirror.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "endivelatch/base/hash.hpp"
-#include "endivelatch/base/strong_id.hpp"
 #include "endivelatch/base/time.hpp"
+#include "endivelatch/mirror/store_position.hpp"
 
 #include <cstdint>
 #include <map>
@@ -15,9 +15,6 @@
 /// A local copy of the platform's objects of one kind, kept current by listing and watching.
 namespace endivelatch {
 
-/// Revision of the platform's store; increases with each change of any object.
-using store_revision = number_id<struct store_revision_tag>;
-
 /// An object as stored on the platform.
 struct mirrored_object {
     std::string name;
@@ -31,7 +28,7 @@
 struct object_page {
     std::vector<mirrored_object> objects;
     bool has_more = false;
-    store_revision revision; ///< Of the store when the page was read.
+    store_position position; ///< Of the store when the page was read.
 };
 
 /// A change reported by a watch.
@@ -43,7 +40,7 @@
 /// The response to a watch.
 struct object_changes {
     std::vector<object_change> changes;
-    store_revision revision; ///< The next watch starts after it.
+    store_position position; ///< The next watch starts after it.
 };
 
 /// Effect: read the next page of the list.
@@ -54,7 +51,7 @@
 
 /// Effect: wait for changes after a revision.
 struct watch_objects {
-    store_revision after;
+    store_position after;
     duration wait{}; ///< Long-poll timeout at the platform.
 };
 
@@ -83,6 +80,12 @@
     duration min_outage{1'000'000};
     /// Time from the store's return; zero for kinds whose objects do not expire.
     duration removal_grace{};
+    /// Time from the start of an era within which objects that the older copy of the store lacks
+    /// stay in use, as their writers write them again.
+    duration rewrite_grace{1'800'000};
+    /// Time from the start of an era within which objects may be in an outdated state. Longer than
+    /// the time after which registrations without a writer expire.
+    duration outdated_time{5'000'000};
     /// Whether the first list may be seconds old, which is cheaper for the store. The watch after
     /// it starts at the revision of the list, so it reports what the list lacks.
     bool first_list_may_be_stale = false;
@@ -94,11 +97,14 @@
 
 /// Maintains the copy and decides on the next call. A pure state machine without I/O or clock.
 ///
-/// Invariant: a copy at revision R holds every change up to R, in whatever order pages, watch
-/// responses and copies of peers arrive. Copies passed on to peers rely on it, as they contain only
+/// Invariant: a copy at revision R holds every change of its era up to R, in whatever order pages,
+/// watch responses and copies of peers arrive. Copies passed on to peers rely on it, as they contain only
 /// what changed after the revision of the peer. Objects whose removal is delayed are therefore kept
 /// apart from the copy. The pages of a list are read one after the other, so the copy may also hold
 /// later changes; it is not passed on until its revision has reached that of the last page.
+///
+/// Revisions are compared only within an era. A copy of a later era replaces the whole copy; until
+/// it has been read, the former one stays in use but is not passed on.
 class object_mirror {
 public:
     object_mirror(const mirror_settings& settings, std::uint64_t seed);
@@ -116,13 +122,20 @@
     mirror_effects merge_peer_copy(object_page&& copy, time_point now);
 
     /// Applies the changes of a peer's copy since a revision; ignored unless this copy is exact and
-    /// still at that revision. The changes lack objects that were both created and removed since,
+    /// still at that position. The changes lack objects that were both created and removed since,
     /// which a newer copy may hold.
-    mirror_effects merge_peer_copy(object_changes&& changes, store_revision since, time_point now);
+    mirror_effects merge_peer_copy(object_changes&& changes, store_position since, time_point now);
+
+    /// Returns the changes since a position, or nothing when removals since then are not known, the
+    /// position is of another era or the copy is not exact.
+    std::optional<object_changes> changes_since(store_position since) const;
+
+    /// Records an era that an answer of the store or another router stated; ignored unless it is
+    /// later than the known one. Returns whether the copy has become outdated.
+    bool begin_era(store_era era, time_point now);
 
-    /// Returns the changes since a revision, or nothing when removals since then are not known or
-    /// the copy is not exact.
-    std::optional<object_changes> changes_since(store_revision revision) const;
+    /// Reads all objects again because the copy is of an earlier era.
+    mirror_effects read_era(time_point now);
 
     /// Largest number of tombstones; exceeds the removals between two queries of a peer.
     static constexpr std::size_t max_tombstones = 500;
@@ -133,6 +146,9 @@
     /// Handles the response that the store does not know the kind, which then has no objects.
     mirror_effects handle_kind_absent(time_point now);
 
+    /// Handles the answer of a watcher that the copy is up to date, or was just brought up to date.
+    mirror_effects handle_confirmation(time_point now);
+
     /// Handles a call that failed or timed out.
     mirror_effects handle_call_failure(time_point now);
 
@@ -148,15 +164,28 @@
     /// Returns the objects of the copy and those whose removal is delayed.
     std::vector<const mirrored_object*> objects_in_use() const;
 
-    /// Returns the revision of the copy; zero before the first list.
-    store_revision revision() const { return revision_; }
+    /// Returns the position of the copy; zero before the first list.
+    store_position position() const { return position_; }
+
+    /// Returns the latest era that is known. The copy may still be of an earlier one.
+    store_era era() const { return era_; }
+
+    /// Returns when the store came back from an older copy, as far as this router knows, if objects
+    /// may still be in a state that had been replaced before.
+    std::optional<time_point> restored_at() const
+    {
+        return may_be_outdated_ ? std::optional{era_began_at_} : std::nullopt;
+    }
 
     /// Returns whether a complete copy has been read.
     bool is_synced() const { return is_synced_; }
 
     /// Returns whether the copy is exactly the state of the store at its revision, so that it can
     /// be passed on.
-    bool is_exact() const { return is_synced_ && revision_ >= exact_from_; }
+    bool is_exact() const
+    {
+        return is_synced_ && position_.era == era_ && position_.revision >= exact_from_;
+    }
 
     /// Returns whether the store may not know the kind.
     bool may_be_absent() const { return settings_.may_be_absent; }
@@ -175,9 +204,15 @@
     };
 
     mirror_effects list_from(std::string after);
-    mirror_effects continue_watching(mirror_effects&& effects);
+    mirror_effects list_after_rejection(time_point now);
+    duration pause_after_rejection();
+    mirror_effects continue_watching(mirror_effects&& effects, time_point now);
     void record_response(time_point now);
     bool apply(object_changes&& changes, time_point now);
+    bool adopt(std::vector<mirrored_object>&& all, store_position position,
+               store_revision exact_from, time_point now);
+    bool replace_era(std::vector<mirrored_object>&& all, store_position position,
+                     store_revision exact_from, time_point now);
     bool apply_removal(const mirrored_object& removed, store_revision revision, time_point now);
     /// Called when a peer's newer copy shows that the store has answered another router.
     void note_return_of_store(time_point now);
@@ -202,16 +237,24 @@
     store_revision skipped_from_;
     store_revision skipped_until_;
     std::vector<mirrored_object> listed_objects_; ///< Objects of the current list so far.
-    std::optional<store_revision> list_revision_; ///< Lowest of the current list's pages.
+    std::optional<store_position> list_position_; ///< Lowest of the current list's pages.
     store_revision last_page_revision_;           ///< Highest of the current list's pages.
     store_revision exact_from_;
-    store_revision revision_;
+    store_position position_;
+    store_era era_; ///< Latest known.
+    time_point era_began_at_{}; ///< When this router learnt of the era.
+    bool may_be_outdated_ = false;
     time_point last_response_at_{};
     std::optional<time_point> failed_since_; ///< First of the latest consecutive failures.
     /// First response after the last outage, or first newer copy of a peer within it.
-    time_point restored_at_{};
+    time_point returned_at_{};
     std::optional<time_point> retry_at_;
     duration next_retry_delay_{};
+    /// Successive answers that led to another call without any news; see `pause_after_rejection`.
+    std::uint32_t rejections_ = 0;
+    store_position watched_after_; ///< Of the last watch.
+    time_point watch_sent_at_{};
+    duration watch_wait_{}; ///< Of the last watch.
     duration next_change_pause_{};
     time_point last_change_at_{}; ///< When a watch last reported a change.
     bool is_synced_ = false;
--- a/include/endivelatch/traffic/target_state.hpp
+++ b/include/endivelatch/traffic/target_state.hpp
@@ -31,6 +31,7 @@
     /// Time for which the target stated to be cold still, zero if warm; nothing if it states none.
     std::optional<duration> cold_left;
     std::uint64_t revision = 0; ///< Changes with each new version of the registration.
+    std::uint64_t sequence = 0; ///< Number of the target's report, counted from its start.
 
     friend bool operator==(const registered_target&, const registered_target&) = default;
 };
--- a/include/endivelatch/traffic/target_table.hpp
+++ b/include/endivelatch/traffic/target_table.hpp
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <vector>
@@ -14,8 +15,12 @@
 /// The registered targets, indexed by id, load report key and pool.
 class target_table {
 public:
-    /// Replaces the registrations. The state of targets that remain registered is kept.
-    void replace(const std::vector<registered_target>& all, time_point now);
+    /// Replaces the registrations. The state of targets that remain registered is kept. If the
+    /// platform lost changes at `restored_at`, registrations that are former states are ignored: a
+    /// target that had left does not come back by one, nor does one that is leaving become ready.
+    /// Returns the number of ignored ones.
+    std::size_t replace(const std::vector<registered_target>& all, time_point now,
+                        std::optional<time_point> restored_at = std::nullopt);
 
     /// Sets the evacuated failure domains, also for targets that register later.
     void set_evacuated(const std::set<domain_id>& domains, time_point now);
@@ -69,6 +74,7 @@
         time_point at{};
     };
 
+    bool is_former_state(const registered_target& registration, time_point restored_at) const;
     void add(const registered_target& registration, time_point now);
     void remove_except(const std::set<target_id>& present, time_point now);
     void configure_cold_start(target_state& target, time_point now) const;
--- a/include/endivelatch/traffic/traffic_event.hpp
+++ b/include/endivelatch/traffic/traffic_event.hpp
@@ -80,6 +80,9 @@
 struct targets_changed {
     std::vector<registered_target> targets;
     std::uint64_t revision = 0; ///< Revision of the platform's target list, for logs.
+    /// When the platform lost changes, if that was a short time ago: some registrations may be
+    /// former states that had been replaced or removed.
+    std::optional<time_point> restored_at = std::nullopt;
 };
 
 /// The evacuated failure domains were read, or have changed.
--- a/src/entry/call_client.cpp
+++ b/src/entry/call_client.cpp
@@ -9,7 +9,10 @@
 call_client::call_client(event_loop& loop)
     : pool_{
           loop,
-          {[this](outgoing_id id, response_head&& head) { calls_[id].reply.status = head.status; },
+          {[this](outgoing_id id, response_head&& head) {
+               calls_[id].reply.status = head.status;
+               calls_[id].reply.headers = std::move(head.headers);
+           },
            [this](outgoing_id id, std::string_view bytes) { calls_[id].reply.body += bytes; },
            [this](outgoing_id id) { finish(id, std::move(calls_[id].reply)); },
            [this](outgoing_id id, request_failure&& failure) {
@@ -29,6 +32,7 @@
     out.max_body_size = max_reply_size;
     out.bytes = request.method + " " + request.target + " HTTP/1.1\r\n";
     append_header(out.bytes, "Host", request.to.address + ":" + std::to_string(request.to.port));
+    append_headers(out.bytes, request.headers);
     if (!request.body.empty()) {
         append_header(out.bytes, "Content-Type", "application/json");
         append_header(out.bytes, "Content-Length", std::to_string(request.body.size()));
--- a/src/entry/copy_query.cpp
+++ b/src/entry/copy_query.cpp
@@ -10,6 +10,7 @@
 constexpr std::string_view watcher_parameter = "&from-watcher";
 constexpr std::string_view changes_parameter = "&changes";
 constexpr std::string_view small_parameter = "&small";
+constexpr std::string_view era_header = "Copy-Era";
 
 /// Removes the suffix if present. Returns whether it was present.
 bool consume_suffix(std::string_view& text, std::string_view suffix)
@@ -40,13 +41,27 @@
 std::string write_copy_query(const copy_query& query)
 {
     return copy_path(query.kind) + std::string{revision_parameter} +
-           std::to_string(query.newer_than.value()) +
+           std::to_string(query.newer_than.revision.value()) +
            std::string{query.from_watcher ? watcher_parameter : ""} +
            std::string{query.accepts_changes ? changes_parameter : ""} +
            std::string{query.small_only ? small_parameter : ""};
 }
 
-std::optional<copy_query> read_copy_query(std::string_view target)
+http_headers write_copy_era(store_era era)
+{
+    if (era == store_era{}) {
+        return {};
+    }
+    return {{std::string{era_header}, std::to_string(era.value())}};
+}
+
+store_era read_copy_era(const http_headers& headers)
+{
+    const auto* era = find_header_ignoring_case(headers, era_header);
+    return era == nullptr ? store_era{} : parse_store_era(*era);
+}
+
+std::optional<copy_query> read_copy_query(std::string_view target, const http_headers& headers)
 {
     const bool small_only = consume_suffix(target, small_parameter);
     const bool accepts_changes = consume_suffix(target, changes_parameter);
@@ -64,8 +79,8 @@
     for (const auto kind :
          {object_kind::configuration, object_kind::targets, object_kind::evacuations}) {
         if (target.substr(0, query_start) == copy_path(kind)) {
-            return copy_query{kind, store_revision{revision}, from_watcher, accepts_changes,
-                              small_only};
+            const store_position newer_than{read_copy_era(headers), store_revision{revision}};
+            return copy_query{kind, newer_than, from_watcher, accepts_changes, small_only};
         }
     }
     return std::nullopt;
--- a/src/entry/fleet_view.cpp
+++ b/src/entry/fleet_view.cpp
@@ -5,7 +5,6 @@
 #include "endivelatch/wire/codec.hpp"
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 namespace endivelatch {
@@ -135,9 +134,9 @@
     membership_.publish(ready_key, summary_scope::fleet, is_ready ? ready_value : "0");
 }
 
-void fleet_view::publish_copy(object_kind kind, store_revision revision)
+void fleet_view::publish_copy(object_kind kind, store_position position)
 {
-    membership_.publish(copy_key(kind), summary_scope::fleet, std::to_string(revision.value()));
+    membership_.publish(copy_key(kind), summary_scope::fleet, to_string(position));
 }
 
 void fleet_view::publish_load(const share_load& load)
@@ -386,11 +385,9 @@
     if (!kind) {
         return;
     }
-    std::uint64_t revision = 0;
-    std::from_chars(e.value.data(), e.value.data() + e.value.size(), revision);
     const auto* holder = membership_.find(e.router);
     if (holder != nullptr) {
-        callbacks_.on_newer_copy(*kind, *holder, store_revision{revision});
+        callbacks_.on_newer_copy(*kind, *holder, parse_store_position(e.value));
     }
 }
 
--- a/src/traffic/target_table.cpp
+++ b/src/traffic/target_table.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <utility>
 
 namespace endivelatch {
 
@@ -17,16 +18,43 @@
 
 } // namespace
 
-void target_table::replace(const std::vector<registered_target>& all, time_point now)
+std::size_t target_table::replace(const std::vector<registered_target>& all, time_point now,
+                                  std::optional<time_point> restored_at)
 {
     std::set<target_id> present;
+    std::size_t ignored = 0;
     for (const auto& it : all) {
-        present.insert(it.id);
-        add(it, now);
+        if (!restored_at || !is_former_state(it, *restored_at)) {
+            present.insert(it.id);
+            add(it, now);
+            continue;
+        }
+        ++ignored;
+        if (targets_.contains(it.id)) {
+            present.insert(it.id);
+        }
     }
     remove_except(present, now);
     update_indexes();
     is_known_ = true;
+    return ignored;
+}
+
+/// Returns whether the registration is a state that had been replaced or removed when the platform
+/// lost changes.
+bool target_table::is_former_state(const registered_target& registration,
+                                   time_point restored_at) const
+{
+    if (const auto known = targets_.find(registration.id); known != targets_.end()) {
+        const auto& last = known->second.registration();
+        const bool becomes_ready = last.started == registration.started && last.is_leaving &&
+                                   !registration.is_leaving;
+        return becomes_ready || std::pair{registration.started, registration.sequence} <
+                                    std::pair{last.started, last.sequence};
+    }
+    const auto removed = removed_.find(registration.id);
+    return removed != removed_.end() && removed->second.at < restored_at &&
+           registration.started <= removed->second.started;
 }
 
 void target_table::set_evacuated(const std::set<domain_id>& domains, time_point now)
--- a/src/traffic/traffic_router.cpp
+++ b/src/traffic/traffic_router.cpp
@@ -284,13 +284,14 @@
     if (cold_senders_.start(now_) || cold_senders_.remove_expired(now_)) {
         targets_.set_cold_senders(cold_senders_.view(), now_);
     }
-    targets_.replace(e.targets, now_);
+    const auto ignored = targets_.replace(e.targets, now_, e.restored_at);
     targets_revision_ = e.revision;
     const auto leaving = std::count_if(e.targets.begin(), e.targets.end(),
                                        [](const auto& it) { return it.is_leaving; });
     log(log_event{"targets_in_force"}
             .add("targets", e.targets.size())
             .add("leaving", leaving)
+            .add("ignored", ignored)
             .add("revision", e.revision));
     metrics_.set("targets", static_cast<std::int64_t>(e.targets.size()));
     update_evacuation_gauges();
--- a/tests/entry/bounded_sink_test.cpp
+++ b/tests/entry/bounded_sink_test.cpp
@@ -68,24 +68,40 @@
     EXPECT_FALSE(file.read());
 }
 
+/// Reads a query from a path without headers.
+std::optional<copy_query> read_path(const std::string& target)
+{
+    return read_copy_query(target, {});
+}
+
 TEST(copy_query, is_equal_after_writing_and_reading)
 {
-    const copy_query query{object_kind::targets, store_revision{530}};
-    const auto read = read_copy_query(write_copy_query(query));
+    const copy_query query{object_kind::targets, {store_era{3}, store_revision{530}}};
+    const auto read =
+        read_copy_query(write_copy_query(query), write_copy_era(query.newer_than.era));
     ASSERT_TRUE(read);
     EXPECT_EQ(read->kind, query.kind);
     EXPECT_EQ(read->newer_than, query.newer_than);
     EXPECT_FALSE(read->from_watcher);
-    EXPECT_TRUE(read_copy_query("/copy/targets?newer-than=1&from-watcher")->from_watcher);
-    const copy_query full{object_kind::targets, store_revision{7}, true, true, true};
-    EXPECT_TRUE(read_copy_query(write_copy_query(full))->small_only);
-    EXPECT_TRUE(read_copy_query(write_copy_query(full))->from_watcher);
-    EXPECT_TRUE(read_copy_query(write_copy_query(full))->accepts_changes);
-    EXPECT_FALSE(read_copy_query("/copy/targets?newer-than=1&from-watcher")->accepts_changes);
-    EXPECT_EQ(read_copy_query("/copy/evacuations?newer-than=1")->kind, object_kind::evacuations);
-    EXPECT_FALSE(read_copy_query("/copy/targets"));
-    EXPECT_FALSE(read_copy_query("/copy/routers?newer-than=1"));
-    EXPECT_FALSE(read_copy_query("/copy/targets?newer-than=1x"));
+    EXPECT_TRUE(read_path("/copy/targets?newer-than=1&from-watcher")->from_watcher);
+    const copy_query full{object_kind::targets, {{}, store_revision{7}}, true, true, true};
+    EXPECT_TRUE(read_path(write_copy_query(full))->small_only);
+    EXPECT_TRUE(read_path(write_copy_query(full))->from_watcher);
+    EXPECT_TRUE(read_path(write_copy_query(full))->accepts_changes);
+    EXPECT_FALSE(read_path("/copy/targets?newer-than=1&from-watcher")->accepts_changes);
+    EXPECT_EQ(read_path("/copy/evacuations?newer-than=1")->kind, object_kind::evacuations);
+    EXPECT_FALSE(read_path("/copy/targets"));
+    EXPECT_FALSE(read_path("/copy/routers?newer-than=1"));
+    EXPECT_FALSE(read_path("/copy/targets?newer-than=1x"));
+}
+
+// Routers of earlier versions neither send nor read the era.
+TEST(copy_query, without_an_era_is_written_as_by_earlier_versions)
+{
+    EXPECT_TRUE(write_copy_era(store_era{}).empty());
+    EXPECT_EQ(read_copy_era({{"Copy-Era", "2x"}}), store_era{});
+    EXPECT_EQ(read_path("/copy/targets?newer-than=1")->newer_than,
+              (store_position{{}, store_revision{1}}));
 }
 
 } // namespace
--- a/tests/mirror/mirror_fuzz_test.cpp
+++ b/tests/mirror/mirror_fuzz_test.cpp
@@ -25,7 +25,7 @@
     std::cout << "case=" << name << " schedules=" << count << " steps=" << total.steps
               << " changes=" << total.changes << " copies=" << total.copies
               << " whole_copies=" << total.whole_copies << " losses=" << total.losses
-              << " restarts=" << total.restarts << " incomplete=" << total.incomplete
+              << " restarts=" << total.restarts << " restores=" << total.restores << " incomplete=" << total.incomplete
               << " diverged=" << total.diverged << "\n";
     return total;
 }
@@ -38,12 +38,13 @@
     EXPECT_EQ(total.diverged, 0U);
     EXPECT_GT(total.copies, total.whole_copies);
     EXPECT_GT(total.whole_copies, 0U);
+    EXPECT_GT(total.restores, 0U);
 }
 
 TEST(mirror_fuzz_test, detects_each_fault_of_copies)
 {
     for (const auto fault : {copy_fault::drops_removals, copy_fault::keeps_removed_objects,
-                             copy_fault::states_later_revision}) {
+                             copy_fault::states_later_revision, copy_fault::states_later_era}) {
         EXPECT_GT(run_schedules("fault", fault, schedules_per_fault).incomplete, 0U);
     }
 }
--- a/tests/mirror/mirror_simulation.cpp
+++ b/tests/mirror/mirror_simulation.cpp
@@ -9,6 +9,8 @@
 
 constexpr std::size_t objects_per_page = 3;
 constexpr duration removal_grace = std::chrono::milliseconds{1'800};
+/// Upper limit of the changes that the store loses when it comes back from a copy.
+constexpr std::uint64_t max_lost = 8;
 constexpr duration max_time_step = std::chrono::milliseconds{700};
 
 } // namespace
@@ -16,23 +18,35 @@
 void history_store::put(const std::string& name)
 {
     ++revision_;
-    const auto content = "content " + std::to_string(revision_);
+    const auto content = "content " + to_string(store_position{era_, store_revision{revision_}});
     history_[name].push_back(
         {revision_, mirrored_object{name, store_revision{revision_}, content}});
 }
 
 void history_store::remove(const std::string& name)
 {
-    if (find(name, revision_) != nullptr) {
+    if (find(history_, name, revision_) != nullptr) {
         history_[name].push_back({++revision_, std::nullopt});
     }
 }
 
-const mirrored_object* history_store::find(const std::string& name, std::uint64_t at) const
+void history_store::restore(std::uint64_t at)
 {
-    const auto it = history_.find(name);
+    former_eras_[era_] = {history_, revision_};
+    for (auto& [name, states] : history_) {
+        std::erase_if(states, [at](const auto& it) { return it.since > at; });
+    }
+    revision_ = at;
+    compacted_until_ = std::min(compacted_until_, at);
+    era_ = era_.next();
+}
+
+const mirrored_object* history_store::find(const object_history& history, const std::string& name,
+                                           std::uint64_t at)
+{
+    const auto it = history.find(name);
     const mirrored_object* found = nullptr;
-    if (it == history_.end()) {
+    if (it == history.end()) {
         return found;
     }
     for (const auto& state : it->second) {
@@ -47,9 +61,9 @@
                                 std::uint64_t at) const
 {
     object_page page;
-    page.revision = store_revision{at};
+    page.position = {era_, store_revision{at}};
     for (auto it = history_.upper_bound(after); it != history_.end(); ++it) {
-        const auto* object = find(it->first, at);
+        const auto* object = find(history_, it->first, at);
         if (object == nullptr) {
             continue;
         }
@@ -65,7 +79,7 @@
 std::optional<object_changes> history_store::changes_since(std::uint64_t revision,
                                                            bool has_old_revisions) const
 {
-    if (revision < compacted_until_) {
+    if (revision < compacted_until_ || revision > revision_) {
         return std::nullopt;
     }
     std::map<std::uint64_t, object_change> by_revision;
@@ -86,18 +100,25 @@
         }
     }
     object_changes all;
-    all.revision = store_revision{revision_};
+    all.position = {era_, store_revision{revision_}};
     for (auto& [at, change] : by_revision) {
         all.changes.push_back(std::move(change));
     }
     return all;
 }
 
-bool history_store::was_state_since(std::uint64_t revision, const std::string& name,
+bool history_store::was_state_since(store_position position, const std::string& name,
                                     const mirrored_object* expected) const
 {
-    for (auto at = revision; at <= revision_; ++at) {
-        const auto* actual = find(name, at);
+    const auto former = former_eras_.find(position.era);
+    if (former == former_eras_.end() && position.era != era_) {
+        return false;
+    }
+    const bool is_former = former != former_eras_.end();
+    const auto& history = is_former ? former->second.history : history_;
+    const auto last = is_former ? former->second.revision : revision_;
+    for (auto at = position.revision.value(); at <= last; ++at) {
+        const auto* actual = find(history, name, at);
         if (expected == nullptr ? actual == nullptr : actual != nullptr && *actual == *expected) {
             return true;
         }
@@ -122,6 +143,7 @@
     whole_copies += other.whole_copies;
     losses += other.losses;
     restarts += other.restarts;
+    restores += other.restores;
     incomplete += other.incomplete;
     diverged += other.diverged;
     return *this;
@@ -135,7 +157,7 @@
     }
     for (std::size_t n = 0; n < node_count; ++n) {
         nodes_.push_back(
-            {object_mirror{mirror_settings{.removal_grace = removal_grace}, n}, {}, {}});
+            {object_mirror{mirror_settings{.removal_grace = removal_grace}, n}, {}, {}, false, {}});
         take_effects(nodes_.back(), nodes_.back().mirror.start(clock_.now()));
     }
 }
@@ -167,6 +189,10 @@
         if (random_.below(8) == 0) {
             store_.compact();
         }
+        else if (random_.below(8) == 0) {
+            ++report_.restores;
+            store_.restore(store_.revision() - random_.below(std::min(store_.revision(), max_lost)));
+        }
         break;
     case 5:
         if (random_.below(4) == 0) {
@@ -236,8 +262,9 @@
         return;
     }
     const auto& watch = std::get<watch_objects>(*it.call);
-    auto changes = store_.changes_since(watch.after.value(), random_.below(2) == 0);
+    auto changes = store_.changes_since(watch.after.revision.value(), random_.below(2) == 0);
     it.has_expired = !changes;
+    it.expired_in = store_.era();
     if (changes) {
         it.response = std::move(*changes);
     }
@@ -247,6 +274,7 @@
 {
     it.call.reset();
     if (std::exchange(it.has_expired, false)) {
+        it.mirror.begin_era(it.expired_in, clock_.now());
         take_effects(it, it.mirror.handle_history_expired(clock_.now()));
         return;
     }
@@ -277,7 +305,7 @@
     const auto from = random_.below(nodes_.size());
     const auto to = random_.below(nodes_.size());
     if (from != to) {
-        requests_.push_back({from, to, nodes_[from].mirror.revision(),
+        requests_.push_back({from, to, nodes_[from].mirror.position(),
                              nodes_[from].mirror.is_exact() && random_.below(4) != 0});
     }
 }
@@ -291,7 +319,7 @@
     const auto request = requests_[static_cast<std::size_t>(n)];
     requests_.erase(requests_.begin() + n);
     const auto& holder = nodes_[request.to];
-    if (!holder.mirror.is_exact() || holder.mirror.revision() <= request.newer_than) {
+    if (!holder.mirror.is_exact() || holder.mirror.position() <= request.newer_than) {
         return;
     }
     copies_.push_back({request.from, request.newer_than, make_copy(holder, request)});
@@ -301,18 +329,22 @@
                                                                        const copy_request& request)
 {
     const auto raised = fault_ == copy_fault::states_later_revision ? 2U : 0U;
-    const store_revision revision{from.mirror.revision().value() + raised};
+    auto position = from.mirror.position();
+    position.revision = store_revision{position.revision.value() + raised};
+    if (fault_ == copy_fault::states_later_era) {
+        position.era = store_.era();
+    }
     auto changes =
         request.accepts_changes ? from.mirror.changes_since(request.newer_than) : std::nullopt;
     if (changes) {
-        changes->revision = revision;
+        changes->position = position;
         if (fault_ == copy_fault::drops_removals) {
             std::erase_if(changes->changes, [](const auto& it) { return it.is_deleted; });
         }
         return *changes;
     }
     object_page page;
-    page.revision = revision;
+    page.position = position;
     for (const auto& [name, object] : from.mirror.objects()) {
         page.objects.push_back(object);
     }
@@ -354,7 +386,7 @@
     ++report_.restarts;
     std::erase_if(requests_, [n](const auto& it) { return it.from == n || it.to == n; });
     std::erase_if(copies_, [n](const auto& it) { return it.to == n; });
-    nodes_[n] = {object_mirror{mirror_settings{.removal_grace = removal_grace}, random_()}, {}, {}};
+    nodes_[n] = {object_mirror{mirror_settings{.removal_grace = removal_grace}, random_()}, {}, {}, false, {}};
     take_effects(nodes_[n], nodes_[n].mirror.start(clock_.now()));
 }
 
@@ -396,7 +428,8 @@
         for (const auto& name : store_.names()) {
             const auto found = it.mirror.objects().find(name);
             const auto* held = found == it.mirror.objects().end() ? nullptr : &found->second;
-            report_.diverged += store_.was_state_since(store_.revision(), name, held) ? 0 : 1;
+            const store_position last{store_.era(), store_revision{store_.revision()}};
+            report_.diverged += store_.was_state_since(last, name, held) ? 0 : 1;
         }
         report_.diverged += it.mirror.objects_in_use().size() == it.mirror.objects().size() ? 0 : 1;
     }
@@ -410,7 +443,7 @@
     for (const auto& name : store_.names()) {
         const auto found = it.mirror.objects().find(name);
         const auto* held = found == it.mirror.objects().end() ? nullptr : &found->second;
-        const bool is_complete = store_.was_state_since(it.mirror.revision().value(), name, held);
+        const bool is_complete = store_.was_state_since(it.mirror.position(), name, held);
         report_.incomplete += is_complete ? 0 : 1;
     }
 }
--- a/tests/mirror/mirror_simulation.hpp
+++ b/tests/mirror/mirror_simulation.hpp
@@ -28,9 +28,16 @@
     /// Discards the history up to the current revision.
     void compact() { compacted_until_ = revision_; }
 
+    /// Comes back from a copy that was made at the revision. Later changes are lost, and their
+    /// revisions are given out again.
+    void restore(std::uint64_t at);
+
     /// Returns the revision of the last change.
     std::uint64_t revision() const { return revision_; }
 
+    /// Returns the era, which increases with each return from a copy.
+    store_era era() const { return era_; }
+
     /// Returns a page of the list as of a revision.
     object_page list(const std::string& after, std::size_t page_size, std::uint64_t at) const;
 
@@ -39,8 +46,9 @@
     std::optional<object_changes> changes_since(std::uint64_t revision,
                                                 bool has_old_revisions) const;
 
-    /// Returns whether the object, or its absence if null, was the state at `revision` or later.
-    bool was_state_since(std::uint64_t revision, const std::string& name,
+    /// Returns whether the object, or its absence if null, was the state at the position or later
+    /// in its era.
+    bool was_state_since(store_position position, const std::string& name,
                          const mirrored_object* expected) const;
 
     /// Returns the names of all objects that ever existed.
@@ -52,11 +60,23 @@
         std::optional<mirrored_object> object;
     };
 
-    const mirrored_object* find(const std::string& name, std::uint64_t at) const;
+    /// States of each object in order.
+    using object_history = std::map<std::string, std::vector<past_state>>;
+
+    /// What an era held when the store was lost.
+    struct former_era {
+        object_history history;
+        std::uint64_t revision = 0;
+    };
+
+    static const mirrored_object* find(const object_history& history, const std::string& name,
+                                       std::uint64_t at);
 
     std::uint64_t revision_ = 1;
     std::uint64_t compacted_until_ = 0;
-    std::map<std::string, std::vector<past_state>> history_; ///< States of each object in order.
+    store_era era_{1};
+    object_history history_;
+    std::map<store_era, former_era> former_eras_;
 };
 
 /// Deliberate faults of the copies that mirrors pass on, to verify that the checks detect them.
@@ -65,6 +85,7 @@
     drops_removals,        ///< Changes lack the removals.
     keeps_removed_objects, ///< Whole copies contain the objects whose removal is delayed.
     states_later_revision, ///< Copies state a higher revision than they hold.
+    states_later_era,      ///< Copies state the store's era, though they may be of a former one.
 };
 
 /// Result of the simulated schedules.
@@ -75,6 +96,7 @@
     std::uint64_t whole_copies = 0; ///< Of them, those with all objects.
     std::uint64_t losses = 0;       ///< Calls and copies that were lost.
     std::uint64_t restarts = 0;
+    std::uint64_t restores = 0;   ///< Returns of the store from a copy.
     std::uint64_t incomplete = 0; ///< Objects whose state was older than the revision of the copy.
     std::uint64_t diverged = 0;   ///< Objects that differed after the faults had ended.
 
@@ -96,12 +118,13 @@
         /// Responses of the store that were sent but not received.
         std::optional<std::variant<object_page, object_changes>> response;
         bool has_expired = false; ///< The response is that the history was discarded.
+        store_era expired_in;     ///< Era that this response states.
     };
 
     /// A copy on its way to another mirror.
     struct copy_message {
         std::size_t to = 0;
-        store_revision since; ///< Revision of the query.
+        store_position since; ///< Position of the query.
         std::variant<object_page, object_changes> copy;
     };
 
@@ -109,7 +132,7 @@
     struct copy_request {
         std::size_t from = 0;
         std::size_t to = 0;
-        store_revision newer_than;
+        store_position newer_than;
         bool accepts_changes = false;
     };
 
--- a/tests/mirror/object_mirror_test.cpp
+++ b/tests/mirror/object_mirror_test.cpp
@@ -15,15 +15,21 @@
     return {name, store_revision{revision}, "content " + std::to_string(revision)};
 }
 
+/// A position of a store that states no era.
+store_position at_revision(std::uint64_t revision)
+{
+    return {{}, store_revision{revision}};
+}
+
 object_page page(std::vector<mirrored_object> objects, std::uint64_t revision,
                  bool has_more = false)
 {
-    return {std::move(objects), has_more, store_revision{revision}};
+    return {std::move(objects), has_more, at_revision(revision)};
 }
 
 object_changes change(const mirrored_object& it, bool is_deleted)
 {
-    return {{{it, is_deleted}}, it.revision};
+    return {{{it, is_deleted}}, {{}, it.revision}};
 }
 
 template <class Effect>
@@ -44,7 +50,7 @@
     /// Passes the changes that the follower lacks on to it.
     mirror_effects pass_changes(const object_mirror& from, object_mirror& follower) const
     {
-        const auto since = follower.revision();
+        const auto since = follower.position();
         return follower.merge_peer_copy(from.changes_since(since).value(), since, clock.now());
     }
 
@@ -69,7 +75,7 @@
     effects = mirror.handle_response(page({object("b", 2)}, 9), clock.now());
     ASSERT_NE(find_effect<watch_objects>(effects), nullptr);
     // The watch then reports the changes between the two pages.
-    EXPECT_EQ(find_effect<watch_objects>(effects)->after, store_revision{5});
+    EXPECT_EQ(find_effect<watch_objects>(effects)->after, at_revision(5));
     EXPECT_NE(find_effect<mirror_updated>(effects), nullptr);
     EXPECT_EQ(mirror.objects().size(), 2U);
 }
@@ -80,7 +86,7 @@
     auto effects = starting.start(clock.now());
     EXPECT_TRUE(find_effect<list_objects>(effects)->allows_stale);
     effects = starting.handle_response(page({object("a", 1)}, 5), clock.now());
-    EXPECT_EQ(find_effect<watch_objects>(effects)->after, store_revision{5});
+    EXPECT_EQ(find_effect<watch_objects>(effects)->after, at_revision(5));
     effects = starting.start(clock.now());
     EXPECT_FALSE(find_effect<list_objects>(effects)->allows_stale);
 }
@@ -116,7 +122,7 @@
     clock.advance(*mirror.next_timer() - clock.now());
     effects = mirror.tick(clock.now());
     ASSERT_NE(find_effect<watch_objects>(effects), nullptr);
-    EXPECT_EQ(find_effect<watch_objects>(effects)->after, store_revision{6});
+    EXPECT_EQ(find_effect<watch_objects>(effects)->after, at_revision(6));
 }
 
 TEST_F(mirror_fixture, lists_again_when_history_expired_and_drops_missing_objects)
@@ -153,7 +159,7 @@
     effects = mirror.tick(clock.now());
     ASSERT_NE(find_effect<watch_objects>(effects), nullptr);
     EXPECT_LE(find_effect<watch_objects>(effects)->wait, milliseconds{200});
-    effects = mirror.handle_response(object_changes{{}, store_revision{5}}, clock.now());
+    effects = mirror.handle_response(object_changes{{}, at_revision(5)}, clock.now());
     EXPECT_GE(find_effect<watch_objects>(effects)->wait, seconds{1});
 }
 
@@ -199,7 +205,7 @@
     EXPECT_EQ(mirror.objects().size(), 1U);
     EXPECT_FALSE(mirror.merge_peer_copy(page({object("a", 7)}, 8), clock.now()).empty());
     EXPECT_EQ(mirror.objects().at("a").revision, store_revision{7});
-    EXPECT_EQ(mirror.revision(), store_revision{8});
+    EXPECT_EQ(mirror.position(), at_revision(8));
 }
 
 TEST_F(mirror_fixture, pauses_grow_during_continuous_changes)
@@ -230,12 +236,12 @@
     mirror.handle_response(change(object("a", 6), false), clock.now());
     mirror.handle_response(change(object("b", 7), true), clock.now());
     mirror.handle_response(change(object("d", 8), false), clock.now());
-    const auto changes = mirror.changes_since(follower.revision());
+    const auto changes = mirror.changes_since(follower.position());
     ASSERT_TRUE(changes);
     EXPECT_EQ(changes->changes.size(), 3U); // `c` did not change.
     EXPECT_FALSE(pass_changes(mirror, follower).empty());
     EXPECT_EQ(follower.objects(), mirror.objects());
-    EXPECT_EQ(follower.revision(), mirror.revision());
+    EXPECT_EQ(follower.position(), mirror.position());
 }
 
 TEST_F(mirror_fixture, an_object_added_again_after_removal_is_sent)
@@ -252,10 +258,10 @@
 
 TEST_F(mirror_fixture, changes_before_the_first_list_are_unknown)
 {
-    EXPECT_FALSE(mirror.changes_since(store_revision{}));
+    EXPECT_FALSE(mirror.changes_since(store_position{}));
     mirror.handle_response(page({object("a", 4)}, 5), clock.now());
-    EXPECT_FALSE(mirror.changes_since(store_revision{3}));
-    EXPECT_TRUE(mirror.changes_since(store_revision{5}));
+    EXPECT_FALSE(mirror.changes_since(at_revision(3)));
+    EXPECT_TRUE(mirror.changes_since(at_revision(5)));
 }
 
 TEST_F(mirror_fixture, removals_missing_from_a_list_are_sent_to_peers)
@@ -282,8 +288,8 @@
         mirror.handle_response(change(object("t" + std::to_string(n), 2'000 + n), true),
                                clock.now());
     }
-    EXPECT_FALSE(mirror.changes_since(store_revision{2'005}));
-    EXPECT_TRUE(mirror.changes_since(store_revision{2'020}));
+    EXPECT_FALSE(mirror.changes_since(at_revision(2'005)));
+    EXPECT_TRUE(mirror.changes_since(at_revision(2'020)));
 }
 
 TEST_F(mirror_fixture, removal_after_an_outage_reaches_peers_at_once)
@@ -335,20 +341,20 @@
 {
     mirror.handle_response(page({object("a", 1)}, 5), clock.now());
     mirror.merge_peer_copy(page({object("a", 1)}, 12), clock.now());
-    mirror.handle_response(object_changes{{{object("b", 7), false}}, store_revision{9}},
+    mirror.handle_response(object_changes{{{object("b", 7), false}}, at_revision(9)},
                            clock.now());
     EXPECT_EQ(mirror.objects().count("b"), 0U);
-    EXPECT_EQ(mirror.revision(), store_revision{12});
+    EXPECT_EQ(mirror.position(), at_revision(12));
 }
 
 TEST_F(mirror_fixture, changes_since_another_revision_are_ignored)
 {
     mirror.handle_response(page({object("a", 1)}, 5), clock.now());
     mirror.handle_response(change(object("b", 6), false), clock.now());
-    const object_changes since_5{{{object("c", 7), false}}, store_revision{8}};
+    const object_changes since_5{{{object("c", 7), false}}, at_revision(8)};
     EXPECT_TRUE(
-        mirror.merge_peer_copy(object_changes{since_5}, store_revision{5}, clock.now()).empty());
-    EXPECT_EQ(mirror.revision(), store_revision{6});
+        mirror.merge_peer_copy(object_changes{since_5}, at_revision(5), clock.now()).empty());
+    EXPECT_EQ(mirror.position(), at_revision(6));
 }
 
 TEST_F(mirror_fixture, a_list_of_several_pages_is_not_passed_on_before_the_last_page)
@@ -356,10 +362,10 @@
     mirror.handle_response(page({object("a", 1)}, 5, true), clock.now());
     mirror.handle_response(page({object("b", 2)}, 9), clock.now());
     EXPECT_FALSE(mirror.is_exact());
-    EXPECT_FALSE(mirror.changes_since(store_revision{5}));
+    EXPECT_FALSE(mirror.changes_since(at_revision(5)));
     mirror.handle_response(change(object("c", 9), false), clock.now());
     EXPECT_TRUE(mirror.is_exact());
-    EXPECT_TRUE(mirror.changes_since(store_revision{9}));
+    EXPECT_TRUE(mirror.changes_since(at_revision(9)));
 }
 
 TEST_F(mirror_fixture, an_older_list_does_not_replace_a_newer_copy)
@@ -367,7 +373,7 @@
     mirror.merge_peer_copy(page({object("a", 7)}, 8), clock.now());
     mirror.handle_response(page({object("a", 4)}, 5), clock.now());
     EXPECT_EQ(mirror.objects().at("a").revision, store_revision{7});
-    EXPECT_EQ(mirror.revision(), store_revision{8});
+    EXPECT_EQ(mirror.position(), at_revision(8));
 }
 
 // A page that says that more follow, but names no object, would be read again without end.
@@ -377,7 +383,7 @@
     object_mirror mirror{mirror_settings{}, 1};
     mirror.start(clock.now());
     EXPECT_TRUE(
-        mirror.handle_response(object_page{{}, true, store_revision{5}}, clock.now()).empty());
+        mirror.handle_response(object_page{{}, true, at_revision(5)}, clock.now()).empty());
     EXPECT_FALSE(mirror.is_synced());
     ASSERT_TRUE(mirror.next_timer());
     EXPECT_GT(*mirror.next_timer(), clock.now());
--- a/tests/platform_adapter/objects_test.cpp
+++ b/tests/platform_adapter/objects_test.cpp
@@ -55,7 +55,7 @@
     const auto reread = protocol::read_page(protocol::write_page(value_of(read)));
     ASSERT_TRUE(has_value(reread));
     EXPECT_EQ(value_of(reread).objects, value_of(read).objects);
-    EXPECT_EQ(value_of(reread).revision, store_revision{9});
+    EXPECT_EQ(value_of(reread).position.revision, store_revision{9});
 }
 
 /// Returns an array that holds arrays, `depth` levels in all.
@@ -112,7 +112,7 @@
         EXPECT_EQ(value_of(page).objects[1].name, "odd"); // The next page follows after it.
         EXPECT_FALSE(has_value(protocol::read_target(value_of(page).objects[1])));
         EXPECT_TRUE(value_of(page).has_more);
-        EXPECT_EQ(value_of(page).revision, store_revision{9});
+        EXPECT_EQ(value_of(page).position.revision, store_revision{9});
         const auto copy = protocol::write_page(value_of(page));
         EXPECT_FALSE(parse_json(copy).is_discarded()) << copy;
 
@@ -185,13 +185,13 @@
 TEST(platform_objects, changes_are_unchanged_after_writing_and_reading)
 {
     object_changes changes;
-    changes.revision = store_revision{9};
+    changes.position.revision = store_revision{9};
     changes.changes.push_back({{"a", store_revision{8}, R"({"x":[1,"é"]})"}, false});
     changes.changes.push_back({{"b", store_revision{9}, {}}, true});
     const auto read = protocol::read_changes(protocol::write_changes(changes));
     ASSERT_TRUE(has_value(read));
     const auto& reread = value_of(read);
-    EXPECT_EQ(reread.revision, changes.revision);
+    EXPECT_EQ(reread.position, changes.position);
     ASSERT_EQ(reread.changes.size(), 2U);
     EXPECT_EQ(reread.changes[0].object, changes.changes[0].object);
     EXPECT_FALSE(reread.changes[0].is_deleted);
--- a/tests/serve/mirror_client_test.cpp
+++ b/tests/serve/mirror_client_test.cpp
@@ -65,17 +65,17 @@
         store.address(),
         mirror_settings{},
         1,
-        {[] {}, [this] { return std::vector<endpoint>{peer.address()}; },
+        {[] {}, [](store_era) {}, [this] { return std::vector<endpoint>{peer.address()}; },
          [this] { return std::vector<endpoint>{watcher.address()}; }, [] { return false; },
          [](log_event&&) {}}};
 };
 
 TEST_F(lagging_watcher, reads_from_the_store_when_the_newer_copy_of_a_peer_is_too_large)
 {
-    const auto known = client.mirror().revision();
+    const auto known = client.mirror().position();
     store.put("config", "main", {{"Version", 2}});
-    client.on_newer_copy(peer.address(), store_revision{known.value() + 1});
-    run_until(loop, [&] { return client.mirror().revision() > known; });
+    client.on_newer_copy(peer.address(), {known.era, known.revision.next()});
+    run_until(loop, [&] { return client.mirror().position() > known; });
     EXPECT_GT(peer.request_count(), 0);
 }
 
@@ -92,10 +92,10 @@
     copy_answer newer_copy(bool has_changes) const
     {
         object_page page;
-        page.revision = store_revision{client.mirror().revision().value() + 1};
+        page.position.revision = client.mirror().position().revision.next();
         page.objects.push_back(client.mirror().objects().begin()->second);
         if (has_changes) {
-            page.objects.front().revision = page.revision;
+            page.objects.front().revision = page.position.revision;
         }
         return {copy_answer::whole, platform::protocol::write_page(page)};
     }
@@ -103,9 +103,9 @@
     /// Announces the peer's copy and waits until the client has read it.
     void announce(const scripted_router& peer)
     {
-        const auto revision = store_revision{client.mirror().revision().value() + 1};
-        client.on_newer_copy(peer.address(), revision);
-        run_until(loop, [&] { return client.mirror().revision() == revision; });
+        const store_position next{{}, client.mirror().position().revision.next()};
+        client.on_newer_copy(peer.address(), next);
+        run_until(loop, [&] { return client.mirror().position() == next; });
     }
 
     event_loop loop;
@@ -119,7 +119,8 @@
         store.address(),
         mirror_settings{},
         1,
-        {[] {}, [] { return std::vector<endpoint>{}; }, [] { return std::vector<endpoint>{}; },
+        {[] {}, [](store_era) {}, [] { return std::vector<endpoint>{}; },
+         [] { return std::vector<endpoint>{}; },
          [] { return false; },
          [this](log_event&& it) { losses += it.name() == "store_lost" ? 1 : 0; }}};
 };
@@ -165,7 +166,7 @@
         store.address(),
         mirror_settings{},
         1,
-        {[] {}, [] { return std::vector<endpoint>(124); },
+        {[] {}, [](store_era) {}, [] { return std::vector<endpoint>(124); },
          [this] {
              return std::vector<endpoint>{watchers[0]->address(), watchers[1]->address()};
          },
--- a/tests/standins/store_standin.cpp
+++ b/tests/standins/store_standin.cpp
@@ -108,6 +108,26 @@
     }
 }
 
+void store_standin::make_copy()
+{
+    copied_objects_ = objects_by_kind_;
+    copied_revision_ = revision_;
+}
+
+void store_standin::restore_copy(bool keeps_watches)
+{
+    objects_by_kind_ = copied_objects_;
+    revision_ = copied_revision_;
+    std::erase_if(history_, [this](const auto& it) { return it.revision > revision_; });
+    ++era_;
+    if (keeps_watches) {
+        return;
+    }
+    for (const auto& it : std::exchange(pending_watches_, {})) {
+        server_.abort(it.id);
+    }
+}
+
 void store_standin::on_request(exchange_number id, const request_head& head,
                                const std::string& body)
 {
@@ -162,7 +182,7 @@
 void store_standin::watch(exchange_number id, const std::string& kind, std::uint64_t after,
                           int wait_ms)
 {
-    if (after < oldest_watchable_revision_) {
+    if (after < oldest_watchable_revision_ || after > revision_) {
         respond(id, 410, json::object());
         return;
     }
@@ -212,7 +232,9 @@
 
 void store_standin::respond_text(exchange_number id, int status, const std::string& body)
 {
-    server_.respond(id, status, {{"Content-Type", "application/json"}}, body);
+    server_.respond(
+        id, status,
+        {{"Content-Type", "application/json"}, {"Store-Era", std::to_string(era_)}}, body);
 }
 
 } // namespace endivelatch::standins
--- a/tests/standins/store_standin.hpp
+++ b/tests/standins/store_standin.hpp
@@ -48,6 +48,14 @@
     /// pending watches.
     void discard_history();
 
+    /// Keeps a copy of all objects, as a backup does.
+    void make_copy();
+
+    /// Comes back from the copy: later changes are lost, their revisions are given out again and
+    /// the era rises by one. Pending watches are aborted unless they outlive the return, as behind
+    /// a proxy.
+    void restore_copy(bool keeps_watches = false);
+
     /// Returns the objects of a kind, by name.
     const std::map<std::string, nlohmann::json>& objects(const std::string& kind)
     {
@@ -85,10 +93,15 @@
     void respond(exchange_number id, int status, const nlohmann::json& body);
     void respond_text(exchange_number id, int status, const std::string& body);
 
+    using objects_by_name = std::map<std::string, nlohmann::json>;
+
     request_server server_;
     delayed_calls delays_;
     mode mode_ = mode::normal;
-    std::map<std::string, std::map<std::string, nlohmann::json>> objects_by_kind_;
+    std::map<std::string, objects_by_name> objects_by_kind_;
+    std::map<std::string, objects_by_name> copied_objects_;
+    std::uint64_t copied_revision_ = 0;
+    std::uint64_t era_ = 1; ///< Stated in all answers.
     /// Texts that replace the `Spec` of objects, by kind and name.
     std::map<std::pair<std::string, std::string>, std::string> spec_texts_;
     std::deque<change> history_;
