The end of a stream is judged by what all its attempts owe

Callers saw: a stream without a length whose first replica crashed inside event 6 and whose second one crashed before its first event ended as complete after 5 of 17 events. Cause: is_cut_stream looked at the last attempt only, and let one without any event pass if an earlier attempt had sent some. A closed connection, which ends such an answer, may also be a crash. The log has request_finished outcome=complete and no attempt_broken. Change: an attempt without new events is the end only if no attempt has begun a further event and its framing, a length or chunks, proves the end. Related paths: a caller's own resumption, a run that starts from the first event, runs of comments and retry fields, events without an id, answers of another status or media type. Log line stream_cut. Why it works: each attempt leaves what it proves (owes_event, the last event sent), and the end is checked against that instead of the last attempt alone.

--- a/include/endivelatch/traffic/traffic_router.hpp
+++ b/include/endivelatch/traffic/traffic_router.hpp
@@ -161,6 +161,8 @@
         bool is_resumed = false;           ///< Its answer goes on after an event of an earlier one.
         bool ends_with_connection = false; ///< The end of its answer may be a crash of the target.
         event_counter events;              ///< Of a stream.
+        std::uint64_t new_events = 0; ///< Of a resumable stream, those that the caller got.
+        std::optional<std::uint64_t> last_event; ///< Also if the caller already had it.
     };
 
     /// State of a request and its answer.
@@ -189,6 +191,10 @@
         std::optional<time_point> waits_since; ///< It waits for room at a target.
         event_splitter events;
         std::optional<std::uint64_t> last_event; ///< Last event sent to the caller.
+        /// An attempt broke off within an event after the last one sent, so the stream has more.
+        bool owes_event = false;
+        /// The last event sent has no id, so that the stream cannot be resumed exactly there.
+        bool ends_without_id = false;
         std::optional<duration> first_byte_after;
         std::uint64_t bytes_sent = 0;
     };
@@ -303,14 +309,18 @@
     void update_cold_rules();
     void report_cold_start(const target_state& target);
 
+    // Events of streams, in traffic_streams.cpp.
+    void handle_events(exchange_number number, exchange& it, std::string_view bytes);
+    void end_faulty_stream(exchange_number number, exchange& it, std::string_view reason);
+    static std::string_view stream_cut_reason(const exchange& it);
+    static bool has_begun_further_event(const exchange& it);
+    static bool continues_stream(const exchange& it, const target_answer& answer);
+
     // Answers, in traffic_answers.cpp.
     void handle_refusal(exchange_number number, exchange& it, const target_answer& answer);
     void handle_failure(exchange_number number, exchange& it, target_answer&& answer);
     void handle_body_bytes(exchange_number number, exchange& it, std::string&& bytes);
     std::size_t buffer_limit() const;
-    void handle_events(exchange_number number, exchange& it, std::string_view bytes);
-    void end_faulty_stream(exchange_number number, exchange& it, std::string_view reason);
-    static bool is_cut_stream(const exchange& it);
     void forward_bytes(exchange_number number, exchange& it, std::string&& bytes);
     void start_answer(exchange_number number, exchange& it, std::optional<std::uint64_t> length);
     void complete_answer(exchange_number number, exchange& it);
--- a/src/traffic/traffic_answers.cpp
+++ b/src/traffic/traffic_answers.cpp
@@ -92,52 +92,6 @@
     return std::min(max_buffered_bytes, settings_.buffered_answers / exchanges_.size());
 }
 
-void traffic_router::handle_events(exchange_number number, exchange& it, std::string_view bytes)
-{
-    std::string complete_events;
-    for (auto& event : it.events.feed(bytes)) {
-        const bool was_sent = event.id && it.last_event && *event.id <= *it.last_event;
-        if (was_sent) {
-            continue; // Already sent to the caller by an earlier attempt.
-        }
-        if (event.id) {
-            it.last_event = event.id;
-        }
-        complete_events += event.bytes;
-    }
-    if (!complete_events.empty()) {
-        forward_bytes(number, it, std::move(complete_events));
-    }
-    if (it.events.partial_size() > max_event_bytes) {
-        end_faulty_stream(number, it, "an event of the stream is too large");
-    }
-}
-
-/// Ends an attempt whose target sends bytes without end that are no event.
-void traffic_router::end_faulty_stream(exchange_number number, exchange& it,
-                                       std::string_view reason)
-{
-    metrics_.add("faulty_streams");
-    log(log_event{"stream_faulty"}
-            .add("request", it.request->id)
-            .add("attempt", it.running->number.value())
-            .add("target", it.running->target)
-            .add("reason", reason));
-    effects_.emplace_back(cancel_attempt{{number, it.running->number}});
-    end_attempt(it, attempt_outcome::failed);
-    retry_or_fail(number, it, false, reason);
-}
-
-/// Returns whether the stream of the running attempt ended within an event or before the first one.
-bool traffic_router::is_cut_stream(const exchange& it)
-{
-    if (it.route.kind != request_kind::streaming || !it.answer || !it.answer->is_success()) {
-        return false;
-    }
-    const auto& events = it.running->events;
-    return events.has_partial_event() || (events.complete_events() == 0 && !it.last_event);
-}
-
 void traffic_router::forward_bytes(exchange_number number, exchange& it, std::string&& bytes)
 {
     if (!it.has_begun) {
--- a/src/traffic/traffic_attempts.cpp
+++ b/src/traffic/traffic_attempts.cpp
@@ -215,6 +215,7 @@
             log(log_event{"target_ejected"}.add("target", it.running->target));
         }
     }
+    it.owes_event = it.owes_event || has_begun_further_event(it);
     it.running.reset();
     it.events.drop_partial_event();
 }
@@ -231,7 +232,7 @@
         may_have_crashed_targets(it)) {
         return false;
     }
-    return !it.has_begun || it.route.is_resumable;
+    return !it.has_begun || (it.route.is_resumable && !it.ends_without_id);
 }
 
 bool traffic_router::consume_retry(const exchange& it)
--- a/src/traffic/traffic_router.cpp
+++ b/src/traffic/traffic_router.cpp
@@ -217,7 +217,8 @@
         handle_refusal(e.key.exchange, state, e.answer);
         return;
     }
-    if (!e.answer.is_success() || !e.answer.is_signed) {
+    const bool continues = !state.has_begun || continues_stream(state, e.answer);
+    if (!e.answer.is_success() || !e.answer.is_signed || !continues) {
         handle_failure(e.key.exchange, state, std::move(e.answer));
         return;
     }
@@ -253,10 +254,18 @@
     if (it == exchanges_.end() || !it->second.running->is_answering) {
         return;
     }
-    if (is_cut_stream(it->second)) {
+    const auto cut_reason = stream_cut_reason(it->second);
+    if (!cut_reason.empty()) {
+        log(log_event{"stream_cut"}
+                .add("request", it->second.request->id)
+                .add("attempt", e.key.number.value())
+                .add("target", it->second.running->target)
+                .add("new_events", it->second.running->new_events)
+                .add("reason", cut_reason));
+        metrics_.add("streams_cut");
         record_possible_crash(it->second);
         end_attempt(it->second, attempt_outcome::failed);
-        retry_or_fail(e.key.exchange, it->second, false, "the stream ended within an event");
+        retry_or_fail(e.key.exchange, it->second, false, cut_reason);
         apply_new_quarantines();
         return;
     }
