--- a/include/endivelatch/entry/entry_process.hpp
+++ b/include/endivelatch/entry/entry_process.hpp
@@ -81,8 +81,10 @@
     void on_entry_request(exchange_number id, const request_head& head);
     void on_peer_request(exchange_number id, const request_head& head);
     void on_metrics_request(exchange_number id, const request_head& head);
-    bool answer_copy(exchange_number id, const copy_query& query);
+    bool answer_copy(exchange_number id, const copy_query& query, time_point asked_at);
+    void answer_without_copy(exchange_number id, const copy_query& query, time_point asked_at);
     void answer_copy_waiters();
+    static http_header confirmation_of(const mirror_client<Protocol>& copy, time_point asked_at);
     mirror_client<Protocol>& mirror_of(object_kind kind);
 
     // Copies and the fleet.
@@ -156,13 +158,15 @@
     /// A copy query of another router that waits for a newer copy.
     struct copy_waiter {
         copy_query query;
+        time_point asked_at{};
         time_point until{};
     };
+    bool answer_copy_waiter(exchange_number id, const copy_waiter& waiter);
     std::map<exchange_number, copy_waiter> copy_waiters_;
     std::map<std::string, store_revision>
         unreadable_revisions_; ///< Of the invalid registrations, which were logged.
     bool reads_evacuations_ = false;
-    store_era era_; ///< Latest known of the store.
+    store_era era_;                                                ///< Latest known of the store.
     std::map<std::string_view, refusal_counts> reported_refusals_; ///< By address.
     bool was_ready_ = false;
     bool is_stopping_ = false;
--- a/include/endivelatch/entry/entry_process_life.hpp
+++ b/include/endivelatch/entry/entry_process_life.hpp
@@ -68,8 +68,9 @@
                                                 stable_hash(settings.id.str()),
                                                 {[this] { configuration_updated(); },
                                                  [this](store_era era) { learn_era(era); },
+                                                 [this] { answer_copy_waiters(); },
                                                  [this] { return fleet_.live_peers(); },
-                                                 [this] { return fleet_.watchers_to_follow(); },
+                                                 [this] { return fleet_.sources(); },
                                                  [this] { return fleet_.is_joining(); },
                                                  [this](log_event&& e) { write(std::move(e)); }}},
       target_mirror_{loop,
@@ -81,22 +82,20 @@
                                      .first_list_may_be_stale = true},
                      stable_hash(settings.id.str()) + 1,
                      {[this] { targets_updated(); }, [this](store_era era) { learn_era(era); },
-                      [this] { return fleet_.live_peers(); },
-                      [this] { return fleet_.watchers_to_follow(); },
-                      [this] { return fleet_.is_joining(); },
+                      [this] { answer_copy_waiters(); }, [this] { return fleet_.live_peers(); },
+                      [this] { return fleet_.sources(); }, [this] { return fleet_.is_joining(); },
                       [this](log_event&& e) { write(std::move(e)); }}},
-      evacuation_mirror_{loop,
-                         call_client_,
-                         object_kind::evacuations,
-                         settings.store,
-                         mirror_settings{.first_list_may_be_stale = true, .may_be_absent = true},
-                         stable_hash(settings.id.str()) + 2,
-                         {[this] { evacuations_updated(); },
-                          [this](store_era era) { learn_era(era); },
-                          [this] { return fleet_.live_peers(); },
-                          [this] { return fleet_.watchers_to_follow(); },
-                          [this] { return fleet_.is_joining(); },
-                          [this](log_event&& e) { write(std::move(e)); }}},
+      evacuation_mirror_{
+          loop,
+          call_client_,
+          object_kind::evacuations,
+          settings.store,
+          mirror_settings{.first_list_may_be_stale = true, .may_be_absent = true},
+          stable_hash(settings.id.str()) + 2,
+          {[this] { evacuations_updated(); }, [this](store_era era) { learn_era(era); },
+           [this] { answer_copy_waiters(); }, [this] { return fleet_.live_peers(); },
+           [this] { return fleet_.sources(); }, [this] { return fleet_.is_joining(); },
+           [this](log_event&& e) { write(std::move(e)); }}},
       fleet_{loop,
              settings,
              incarnation{static_cast<std::uint64_t>(
@@ -263,29 +262,28 @@
     }
     learn_era(query->newer_than.era);
     const auto& copy = mirror_of(query->kind);
-    if (query->from_watcher && !copy.watches_store()) {
+    if (query->from_watcher && !copy.may_be_followed()) {
         peer_server_.respond(id, copy_answer::not_watching, {}, {});
         return;
     }
-    if (answer_copy(id, *query)) {
+    const auto now = loop_->now();
+    if (answer_copy(id, *query, now)) {
         return;
     }
-    if (!copy.mirror().is_connected()) {
-        // Another router may hold a newer copy.
-        const auto status =
-            query->from_watcher ? copy_answer::store_lost : copy_answer::nothing_newer;
-        peer_server_.respond(id, status, {}, {});
+    const auto wait = mirror_client<Protocol>::wait_of(*query);
+    if (!copy.mirror().is_connected() || wait == duration{}) {
+        answer_without_copy(id, *query, now);
         return;
     }
-    copy_waiters_.emplace(
-        id, copy_waiter{*query, loop_->now() + mirror_client<Protocol>::wait_of(*query)});
+    copy_waiters_.emplace(id, copy_waiter{*query, now, now + wait});
     if (!copy_waiters_timer_.is_active()) {
         copy_waiters_timer_.start(copy_waiters_interval);
     }
 }
 
 template <entry_protocol Protocol>
-bool entry_process<Protocol>::answer_copy(exchange_number id, const copy_query& query)
+bool entry_process<Protocol>::answer_copy(exchange_number id, const copy_query& query,
+                                          time_point asked_at)
 {
     const auto& copy = mirror_of(query.kind);
     if (!copy.mirror().is_exact() || copy.mirror().position() <= query.newer_than) {
@@ -296,25 +294,57 @@
     router_.metrics().add("copy_bytes_sent", answer.body.size());
     auto headers = write_copy_era(copy.mirror().position().era);
     headers.push_back({"Content-Type", "application/json"});
+    headers.push_back(confirmation_of(copy, asked_at));
     peer_server_.respond(id, answer.status, headers, answer.body);
     return true;
 }
 
 template <entry_protocol Protocol>
-void entry_process<Protocol>::answer_copy_waiters()
+http_header entry_process<Protocol>::confirmation_of(const mirror_client<Protocol>& copy,
+                                                     time_point asked_at)
 {
-    std::erase_if(copy_waiters_, [this](const auto& entry) {
-        const auto& [id, waiter] = entry;
-        if (answer_copy(id, waiter.query)) {
-            return true;
-        }
-        if (loop_->now() < waiter.until) {
-            return false;
-        }
-        peer_server_.respond(id, copy_answer::nothing_newer, {}, {});
+    const auto confirmed_at = copy.confirmed_at();
+    return write_confirmation(confirmed_at ? *confirmed_at - asked_at : never_confirmed);
+}
+
+/// Answers that there is no newer copy, and when the store has confirmed the present one.
+template <entry_protocol Protocol>
+void entry_process<Protocol>::answer_without_copy(exchange_number id, const copy_query& query,
+                                                  time_point asked_at)
+{
+    const auto& copy = mirror_of(query.kind);
+    if (query.from_watcher && !copy.mirror().is_connected()) {
+        peer_server_.respond(id, copy_answer::store_lost, {}, {});
+        return;
+    }
+    peer_server_.respond(id, copy_answer::nothing_newer, {confirmation_of(copy, asked_at)}, {});
+}
+
+/// Answers a query that waits, if there is a newer copy, its wait is over, the store has confirmed
+/// the copy since, or a follower has to look for another source.
+template <entry_protocol Protocol>
+bool entry_process<Protocol>::answer_copy_waiter(exchange_number id, const copy_waiter& waiter)
+{
+    const auto& query = waiter.query;
+    if (answer_copy(id, query, waiter.asked_at)) {
         return true;
-    });
-    if (!copy_waiters_.empty()) {
+    }
+    const auto& copy = mirror_of(query.kind);
+    const bool is_confirmed = query.wait && copy.confirmed_at() > waiter.asked_at;
+    const bool has_lost = query.from_watcher && !copy.mirror().is_connected();
+    if (!is_confirmed && !has_lost && loop_->now() < waiter.until) {
+        return false;
+    }
+    answer_without_copy(id, query, waiter.asked_at);
+    return true;
+}
+
+template <entry_protocol Protocol>
+void entry_process<Protocol>::answer_copy_waiters()
+{
+    std::erase_if(copy_waiters_,
+                  [this](const auto& it) { return answer_copy_waiter(it.first, it.second); });
+    if (!copy_waiters_.empty() && !copy_waiters_timer_.is_active()) {
         copy_waiters_timer_.start(copy_waiters_interval);
     }
 }
@@ -525,6 +555,10 @@
         const auto position = mirror.position();
         metrics.set("copy_revision", static_cast<std::int64_t>(position.revision.value()), labels);
         metrics.set("copy_era", static_cast<std::int64_t>(position.era.value()), labels);
+        if (const auto confirmed_at = mirror_of(kind).confirmed_at()) {
+            const auto age = loop_->now() - *confirmed_at;
+            metrics.set("copy_confirmed_age_ms", age.count() / 1'000, labels);
+        }
     }
     metrics.set("requests_active", static_cast<std::int64_t>(router_.active()));
     metrics.set("caller_connections", static_cast<std::int64_t>(caller_server_.connections()));
--- a/include/endivelatch/entry/fleet_view.hpp
+++ b/include/endivelatch/entry/fleet_view.hpp
@@ -2,6 +2,7 @@
 
 #include "endivelatch/entry/entry_settings.hpp"
 #include "endivelatch/entry/protocol.hpp"
+#include "endivelatch/entry/watchers.hpp"
 #include "endivelatch/membership/membership.hpp"
 #include "endivelatch/net/timer.hpp"
 #include "endivelatch/net/udp_socket.hpp"
@@ -64,6 +65,15 @@
     std::function<void(log_event&&)> on_log;
 };
 
+/// A router's task in reading the store and the peer addresses of the routers that it follows.
+struct copy_sources {
+    reader_role role = reader_role::watcher;
+    /// In random order, but with those in the same failure domain last, as they are preferred.
+    std::vector<endpoint> followed;
+    std::vector<endpoint> fallbacks; ///< In random order.
+    bool may_read_alone = true; ///< The fleet is so small that each follower may read the store.
+};
+
 /// Tracks the other entry routers: whether they are live and ready, which copies they hold, and the
 /// loads, failures and limits of targets that they report. Runs the membership protocol over UDP.
 class fleet_view {
@@ -110,9 +120,8 @@
     /// Returns the peer addresses of the other live routers.
     std::vector<endpoint> live_peers() const;
 
-    /// Returns the peer addresses of the routers that watch the store, in random order but with
-    /// those in the same failure domain last. Empty if this router is itself a watcher.
-    std::vector<endpoint> watchers_to_follow();
+    /// Returns from which routers this one gets its copies of the store's objects.
+    copy_sources sources();
 
     /// Returns whether the router has started recently and may learn of other routers soon.
     bool is_joining() const;
--- a/include/endivelatch/entry/mirror_client.hpp
+++ b/include/endivelatch/entry/mirror_client.hpp
@@ -4,6 +4,7 @@
 #include "endivelatch/base/overloaded.hpp"
 #include "endivelatch/entry/call_client.hpp"
 #include "endivelatch/entry/copy_query.hpp"
+#include "endivelatch/entry/fleet_view.hpp"
 #include "endivelatch/entry/protocol.hpp"
 #include "endivelatch/entry/watchers.hpp"
 #include "endivelatch/mirror/object_mirror.hpp"
@@ -25,18 +26,18 @@
     std::function<void()> on_updated;
     /// The store stated an era in an answer, or another router in a query.
     std::function<void(store_era)> on_era;
+    /// The store, or a router that is followed, has confirmed the copy or failed to.
+    std::function<void()> on_checked;
     std::function<std::vector<endpoint>()> peers; ///< Returns the other live routers.
-    /// Returns the routers that watch the store, the preferred one last; none if this router is a
-    /// watcher.
-    std::function<std::vector<endpoint>()> watchers_to_follow;
-    /// Returns whether the discovery of other routers is in progress, so that the watchers are not
+    std::function<copy_sources()> sources;        ///< Returns from which routers to get copies.
+    /// Returns whether the discovery of other routers is in progress, so that the sources are not
     /// known yet.
     std::function<bool()> is_joining;
     std::function<void(log_event&&)> on_log;
 };
 
-/// Maintains a copy of the platform's objects of one kind. Reads it from the store or, while the
-/// store does not answer, from other routers.
+/// Maintains a copy of the platform's objects of one kind. Reads it from the store or from the
+/// routers that it follows (`reader_role`) and, while neither confirms it, from any other router.
 template <entry_protocol Protocol>
 class mirror_client {
 public:
@@ -45,7 +46,8 @@
                   mirror_client_callbacks callbacks)
         : loop_{&loop}, calls_{&calls}, kind_{kind}, store_{store}, mirror_{settings, seed},
           callbacks_{std::move(callbacks)}, timer_{loop, [this] { apply(mirror_.tick(now())); }},
-          peer_timer_{loop, [this] { on_peer_timer(); }},
+          peer_timer_{loop, [this] { on_peer_timer(); }}, lead_timer_{loop,
+                                                                      [this] { on_lead_timer(); }},
           join_timer_{loop, [this] { on_join_timer(); }}, random_{seed}, probes_{seed + 1}
     {
     }
@@ -69,7 +71,7 @@
     void on_era(store_era era)
     {
         if (!begin_era(era) || !watches_store_ || !mirror_.is_connected()) {
-            return; // The followed watcher, or the next call, brings the copy of this era.
+            return; // The followed router, or the next call, brings the copy of this era.
         }
         cancel_call();
         apply(mirror_.read_era(now()));
@@ -89,20 +91,42 @@
         }
     }
 
-    /// Returns whether this router watches the store itself.
-    bool watches_store() const { return watches_store_; }
+    /// Returns whether other routers may follow this one.
+    bool may_be_followed() const
+    {
+        return watches_store_ || role_ == reader_role::lead || role_ == reader_role::relay ||
+               (confirmed_at_ && now() - *confirmed_at_ < limits().relay);
+    }
 
-    /// Queries a peer if there is no copy yet, as at a start during an outage of the store.
+    /// Returns when the store last confirmed the copy, as far as this router knows; nothing before
+    /// its first list. A later change has not been missed unless it came after this time.
+    std::optional<time_point> confirmed_at() const { return confirmed_at_; }
+
+    /// Queries a peer if there is no copy yet, as at a start during an outage of the store. Renews
+    /// the long watch of a router that others follow from now on, as it confirms nothing to them.
     void on_peers_changed()
     {
         if (!mirror_.is_synced()) {
             query_any_peer();
+            return;
+        }
+        if (!call_ || !watches_store_ || role_ == reader_role::lead) {
+            return;
+        }
+        const auto role = callbacks_.sources().role;
+        const bool becomes_relay = role == reader_role::relay && role_ != reader_role::relay;
+        if (role == reader_role::lead || becomes_relay) {
+            cancel_call();
+            watch({mirror_.position(), limits().interval});
         }
     }
 
     /// Returns the maximum time that a query of another router waits for a newer copy.
     static duration wait_of(const copy_query& query)
     {
+        if (query.wait) {
+            return *query.wait;
+        }
         const bool is_rare = query.kind == object_kind::evacuations && query.from_watcher;
         return is_rare ? evacuations_follow_wait : peer_wait;
     }
@@ -143,9 +167,17 @@
     /// The same for followers of evacuations, which are rare: each query costs both routers
     /// processor time.
     static constexpr duration evacuations_follow_wait{2'000'000};
-    /// Added to the wait for the timeout of a query to the followed watcher.
+    /// Added to the wait for the timeout of a query to a source, if no limit comes before.
     static constexpr duration follow_timeout_margin{300'000};
-    /// A watcher whose connection fails within this time has ended; a slower failure may come from
+    /// Time for which a source may hold back its answer beyond the interval of confirmations.
+    static constexpr duration confirmation_margin{200'000};
+    /// Timeout of a query to a source that answers without waiting.
+    static constexpr duration urgent_timeout{100'000};
+    /// Shortest wait of the lead's watches.
+    static constexpr duration min_lead_wait{100'000};
+    /// Wait of a watch that only checks whether the store has changes.
+    static constexpr duration check_wait{1'000};
+    /// A source whose connection fails within this time has ended; a slower failure may come from
     /// this router's own link.
     static constexpr duration quick_failure_time{200'000};
     /// Delays before the next query after a peer failed to answer, and after it had no newer copy.
@@ -176,7 +208,15 @@
     void list(const list_objects& e)
     {
         send(Protocol::list_call(kind_, e), list_timeout,
-             [this](const std::string& body) { return update_mirror(Protocol::read_page(body)); });
+             [this, is_proof = !e.allows_stale](const std::string& body) {
+                 auto page = Protocol::read_page(body);
+                 const bool is_last = has_value(page) && !value_of(page).has_more;
+                 auto effects = update_mirror(std::move(page));
+                 if (is_last && is_proof) {
+                     confirm_by_store(now());
+                 }
+                 return effects;
+             });
     }
 
     void watch(const watch_objects& e)
@@ -186,12 +226,35 @@
             join_timer_.start(join_check_interval);
             return;
         }
-        auto watchers = callbacks_.watchers_to_follow();
-        if (watchers.empty()) {
-            watch_store(e); // This router is a watcher.
+        auto sources = callbacks_.sources();
+        role_ = sources.role;
+        if (role_ == reader_role::watcher) {
+            watch_store(e.wait);
             return;
         }
-        follow(std::move(watchers), e, false);
+        if (role_ == reader_role::lead) {
+            // The pause after a change counts towards the interval.
+            const auto age = confirmed_at_ ? now() - *confirmed_at_ : duration{};
+            const auto wait = std::max(limits().interval - age, min_lead_wait);
+            watch_store(std::min(e.wait, wait));
+            return;
+        }
+        if (role_ == reader_role::relay) {
+            watch_store(e.wait);
+            if (!lead_call_) {
+                ask_lead(sources.followed.back());
+            }
+            return;
+        }
+        following round;
+        round.watch_wait = e.wait;
+        round.sources = std::move(sources.followed);
+        round.fallbacks = std::move(sources.fallbacks);
+        round.may_read_alone = sources.may_read_alone;
+        round.ends_at = mirror_.is_connected() && confirmed_at_
+                            ? std::max(*confirmed_at_ + limit_of(role_), now() + urgent_timeout)
+                            : now() + limits().interval + follow_timeout_margin;
+        follow(std::move(round));
     }
 
     void on_join_timer()
@@ -201,67 +264,36 @@
         }
     }
 
-    /// Queries the last of the watchers for a newer copy. If it answers that it does not watch or
-    /// reach the store, or fails at once, the next one is queried. If it does not answer, this
-    /// router watches the store itself for one call.
-    void follow(std::vector<endpoint>&& watchers, const watch_objects& e, bool has_lost_watcher)
-    {
-        if (watchers.empty()) {
-            watch_without_watcher(e, has_lost_watcher);
-            return;
-        }
-        watches_store_ = false;
-        const auto watcher = watchers.back();
-        watchers.pop_back();
-        const copy_query query{kind_, mirror_.position(), true, mirror_.is_exact(), true};
-        call_ = calls_->call(
-            {watcher,
-             "GET",
-             write_copy_query(query),
-             {},
-             wait_of(query) + follow_timeout_margin,
-             write_copy_era(query.newer_than.era)},
-            [this, e, has_lost_watcher, since = query.newer_than, asked_at = now(),
-             others = std::move(watchers)](call_outcome&& outcome) mutable {
-                call_.reset();
-                const auto* reply = std::get_if<call_reply>(&outcome);
-                const bool has_lost = reply != nullptr && reply->status == copy_answer::store_lost;
-                const bool is_other =
-                    reply != nullptr && reply->status == copy_answer::not_watching;
-                const bool is_gone = reply == nullptr && now() - asked_at < quick_failure_time;
-                if (has_lost || is_other || is_gone) {
-                    follow(std::move(others), e, has_lost_watcher || has_lost);
-                    return;
-                }
-                handle_watcher_answer(outcome, since, e);
-            });
-    }
-
-    /// Called when no watcher can be followed. If one of them has lost the store, the others
-    /// probably have too, and this router seldom calls it.
-    void watch_without_watcher(const watch_objects& e, bool has_lost_watcher)
-    {
-        if (!has_lost_watcher || probes_.is_due(callbacks_.peers().size(), now())) {
-            watch_store({mirror_.position(), e.wait});
-            return;
-        }
-        report_failure("no watcher reaches the store");
-    }
+    /// A search for a source that confirms the copy.
+    struct following {
+        std::vector<endpoint> sources; ///< Not yet asked, the preferred one last.
+        std::vector<endpoint> fallbacks;
+        time_point ends_at{};
+        duration watch_wait{}; ///< Of a watch of the store if no router reads it.
+        bool may_read_alone = false;
+        bool is_urgent = false;  ///< The limit has passed, so that sources must not wait.
+        bool has_answer = false; ///< A source has answered.
+        bool has_lost = false;   ///< A source answered that it does not reach the store.
+    };
 
-    void handle_watcher_answer(const call_outcome& outcome, store_position since,
-                               const watch_objects& e)
+    // Sources of the copy and its confirmation, in mirror_client_sources.hpp.
+    void ask_lead(const endpoint& lead);
+    void handle_lead_answer(const call_outcome& outcome, store_position since, time_point asked_at);
+    void on_lead_timer();
+    void follow(following&& round);
+    void handle_source_answer(const call_outcome& outcome, store_position since,
+                              time_point asked_at, following&& round);
+    void leave_sources(following&& round);
+    void log_unconfirmed(const following& round);
+    bool may_read_store(const following& round);
+    void confirm_by_store(time_point at);
+    void confirm(time_point at);
+    duration limit_of(reader_role role) const;
+
+    const confirmation_limits& limits() const
     {
-        const auto* reply = std::get_if<call_reply>(&outcome);
-        const bool is_unchanged = reply != nullptr && reply->status == copy_answer::nothing_newer;
-        const bool is_newer =
-            reply != nullptr && apply_copy(*reply, since) && mirror_.position() > since;
-        if (is_unchanged || is_newer) {
-            probes_.reset();
-            report_success();
-            apply(mirror_.handle_confirmation(now()));
-            return;
-        }
-        watch_store({mirror_.position(), e.wait});
+        return kind_ == object_kind::evacuations ? evacuation_confirmation_limits
+                                                 : default_confirmation_limits;
     }
 
     /// Applies a copy, or the changes in it since a revision, received from another router. Returns
@@ -300,14 +332,24 @@
         return kind_ == object_kind::targets ? targets_peer_delay : configuration_peer_delay;
     }
 
-    void watch_store(const watch_objects& e)
+    void watch_store(duration wait)
     {
         watches_store_ = true;
         watch_started_at_ = now();
-        send(Protocol::watch_call(kind_, e.after.revision, e.wait), e.wait + watch_timeout_margin,
-             [this](const std::string& body) {
+        mirror_.begin_watch(wait, now());
+        send(Protocol::watch_call(kind_, mirror_.position().revision, wait),
+             wait + watch_timeout_margin, [this, wait](const std::string& body) {
                  probes_.record_call(true);
-                 return update_mirror(Protocol::read_changes(body));
+                 auto changes = Protocol::read_changes(body);
+                 if (!has_value(changes)) {
+                     return update_mirror(std::move(changes));
+                 }
+                 // Without changes the store answers at the end of the wait; what comes later was
+                 // delayed on the way.
+                 const bool is_empty = value_of(changes).changes.empty();
+                 auto effects = update_mirror(std::move(changes));
+                 confirm_by_store(is_empty ? std::min(now(), watch_started_at_ + wait) : now());
+                 return effects;
              });
     }
 
@@ -342,6 +384,7 @@
         else if (reply.status == kind_absent_status && mirror_.may_be_absent()) {
             report_success();
             apply(mirror_.handle_kind_absent(now()));
+            confirm_by_store(now());
         }
         else if (reply.status != store_ok_status) {
             report_failure("status " + std::to_string(reply.status));
@@ -394,10 +437,11 @@
             log("store_lost", reason);
         }
         apply(mirror_.handle_call_failure(now()));
+        callbacks_.on_checked();
         query_any_peer();
     }
 
-    /// Called after each successful call, of the store or of a watcher.
+    /// Called after each successful call, of the store or of a router that is followed.
     void report_success()
     {
         if (std::exchange(has_logged_loss_, false)) {
@@ -444,7 +488,7 @@
                       write_copy_query(query),
                       {},
                       peer_wait + watch_timeout_margin,
-                      write_copy_era(query.newer_than.era)},
+                      write_copy_headers(query)},
                      [this, peer, since = query.newer_than, was_connected](call_outcome&& outcome) {
                          is_querying_peer_ = false;
                          handle_peer_answer(peer, outcome, since, was_connected);
@@ -492,7 +536,7 @@
             return;
         }
         cancel_call();
-        watch_store({mirror_.position(), peer_wait});
+        watch_store(peer_wait);
     }
 
     /// Cancels the watch, which has not delivered a change that a peer already holds and may have
@@ -500,7 +544,7 @@
     void restart_watch()
     {
         if (!watches_store_ && mirror_.is_connected()) {
-            return; // The followed watcher lags behind, not the store.
+            return; // The followed router lags behind, not the store.
         }
         if (mirror_.is_connected() && call_ && now() - watch_started_at_ < peer_delay()) {
             peer_timer_.start(peer_delay());
@@ -553,15 +597,19 @@
     object_mirror mirror_;
     mirror_client_callbacks callbacks_;
     std::optional<outgoing_id> call_;
-    endpoint newer_copy_peer_; ///< Announced a newer copy.
+    std::optional<outgoing_id> lead_call_; ///< Of a relay, besides its watch.
+    endpoint newer_copy_peer_;             ///< Announced a newer copy.
     store_position newer_copy_position_;
     bool is_querying_peer_ = false;
     bool watches_store_ = false;
+    reader_role role_ = reader_role::watcher; ///< At the last watch.
+    std::optional<time_point> confirmed_at_;
     time_point watch_started_at_{};
     std::uint64_t updates_ = 0; ///< Number of changes of the copy's objects.
     bool has_logged_loss_ = false;
     timer timer_;
     timer peer_timer_;
+    timer lead_timer_;
     timer join_timer_;
     std::optional<watch_objects> delayed_watch_; ///< Waits for the discovery of other routers.
     random_source random_;
@@ -569,3 +617,5 @@
 };
 
 } // namespace endivelatch
+
+#include "endivelatch/entry/mirror_client_sources.hpp"
--- a/include/endivelatch/mirror/object_mirror.hpp
+++ b/include/endivelatch/mirror/object_mirror.hpp
@@ -98,10 +98,11 @@
 /// Maintains the copy and decides on the next call. A pure state machine without I/O or clock.
 ///
 /// Invariant: a copy at revision R holds every change of its era up to R, in whatever order pages,
-/// watch responses and copies of peers arrive. Copies passed on to peers rely on it, as they contain only
-/// what changed after the revision of the peer. Objects whose removal is delayed are therefore kept
-/// apart from the copy. The pages of a list are read one after the other, so the copy may also hold
-/// later changes; it is not passed on until its revision has reached that of the last page.
+/// watch responses and copies of peers arrive. Copies passed on to peers rely on it, as they
+/// contain only what changed after the revision of the peer. Objects whose removal is delayed are
+/// therefore kept apart from the copy. The pages of a list are read one after the other, so the
+/// copy may also hold later changes; it is not passed on until its revision has reached that of the
+/// last page.
 ///
 /// Revisions are compared only within an era. A copy of a later era replaces the whole copy; until
 /// it has been read, the former one stays in use but is not passed on.
@@ -146,7 +147,11 @@
     /// Handles the response that the store does not know the kind, which then has no objects.
     mirror_effects handle_kind_absent(time_point now);
 
-    /// Handles the answer of a watcher that the copy is up to date, or was just brought up to date.
+    /// Records that a watch was sent: not at once, from the present position or with another wait
+    /// than `watch_objects` asked for.
+    void begin_watch(duration wait, time_point now);
+
+    /// Handles the answer of a router that the copy is up to date, or was just brought up to date.
     mirror_effects handle_confirmation(time_point now);
 
     /// Handles a call that failed or timed out.
@@ -241,7 +246,7 @@
     store_revision last_page_revision_;           ///< Highest of the current list's pages.
     store_revision exact_from_;
     store_position position_;
-    store_era era_; ///< Latest known.
+    store_era era_;             ///< Latest known.
     time_point era_began_at_{}; ///< When this router learnt of the era.
     bool may_be_outdated_ = false;
     time_point last_response_at_{};
--- a/include/endivelatch/traffic/event_counter.hpp
+++ b/include/endivelatch/traffic/event_counter.hpp
@@ -34,9 +34,10 @@
     std::uint64_t complete_events_ = 0;
     std::uint64_t idle_bytes_ = 0;
     bool has_event_field_ = false; ///< Complete lines since the last event hold a field of one.
-    std::size_t line_size_ = 0;    ///< Bytes of the current line, without carriage returns at its start.
-    bool is_comment_ = false;      ///< The current line begins with a colon.
-    bool may_be_retry_ = true;     ///< The current line begins with `retry:` or a part of it.
+    std::size_t line_size_ =
+        0;                    ///< Bytes of the current line, without carriage returns at its start.
+    bool is_comment_ = false; ///< The current line begins with a colon.
+    bool may_be_retry_ = true; ///< The current line begins with `retry:` or a part of it.
 };
 
 } // namespace endivelatch
--- a/include/endivelatch/traffic/traffic_router.hpp
+++ b/include/endivelatch/traffic/traffic_router.hpp
@@ -161,7 +161,7 @@
         bool is_resumed = false;           ///< Its answer goes on after an event of an earlier one.
         bool ends_with_connection = false; ///< The end of its answer may be a crash of the target.
         event_counter events;              ///< Of a stream.
-        std::uint64_t new_events = 0; ///< Of a resumable stream, those that the caller got.
+        std::uint64_t new_events = 0;      ///< Of a resumable stream, those that the caller got.
         std::optional<std::uint64_t> last_event; ///< Also if the caller already had it.
     };
 
--- a/src/entry/call_client.cpp
+++ b/src/entry/call_client.cpp
@@ -7,17 +7,16 @@
 namespace endivelatch {
 
 call_client::call_client(event_loop& loop)
-    : pool_{
-          loop,
-          {[this](outgoing_id id, response_head&& head) {
-               calls_[id].reply.status = head.status;
-               calls_[id].reply.headers = std::move(head.headers);
-           },
-           [this](outgoing_id id, std::string_view bytes) { calls_[id].reply.body += bytes; },
-           [this](outgoing_id id) { finish(id, std::move(calls_[id].reply)); },
-           [this](outgoing_id id, request_failure&& failure) {
-               finish(id, call_failed{std::move(failure.reason)});
-           }}}
+    : pool_{loop,
+            {[this](outgoing_id id, response_head&& head) {
+                 calls_[id].reply.status = head.status;
+                 calls_[id].reply.headers = std::move(head.headers);
+             },
+             [this](outgoing_id id, std::string_view bytes) { calls_[id].reply.body += bytes; },
+             [this](outgoing_id id) { finish(id, std::move(calls_[id].reply)); },
+             [this](outgoing_id id, request_failure&& failure) {
+                 finish(id, call_failed{std::move(failure.reason)});
+             }}}
 {
 }
 
--- a/src/entry/copy_query.cpp
+++ b/src/entry/copy_query.cpp
@@ -1,6 +1,8 @@
 #include "endivelatch/entry/copy_query.hpp"
 
+#include <algorithm>
 #include <charconv>
+#include <chrono>
 
 namespace endivelatch {
 
@@ -11,6 +13,10 @@
 constexpr std::string_view changes_parameter = "&changes";
 constexpr std::string_view small_parameter = "&small";
 constexpr std::string_view era_header = "Copy-Era";
+constexpr std::string_view wait_header = "Copy-Wait-Ms";
+constexpr std::string_view confirmation_header = "Copy-Confirmed-Ms";
+/// Confirmations older than this are of no use; larger numbers are not read.
+constexpr std::int64_t max_header_ms = 1'000'000'000;
 
 /// Removes the suffix if present. Returns whether it was present.
 bool consume_suffix(std::string_view& text, std::string_view suffix)
@@ -22,6 +28,25 @@
     return true;
 }
 
+std::int64_t to_ms(duration time)
+{
+    return std::chrono::floor<std::chrono::milliseconds>(time).count();
+}
+
+/// Reads a header with a number of milliseconds. Returns nothing if it is missing or not valid.
+std::optional<duration> read_ms(const http_headers& headers, std::string_view name)
+{
+    const auto* text = find_header_ignoring_case(headers, name);
+    std::int64_t n = 0;
+    if (text == nullptr) {
+        return std::nullopt;
+    }
+    const auto [end, ec] = std::from_chars(text->data(), text->data() + text->size(), n);
+    const bool is_valid = ec == std::errc{} && end == text->data() + text->size() &&
+                          n >= -max_header_ms && n <= max_header_ms;
+    return is_valid ? std::optional<duration>{std::chrono::milliseconds{n}} : std::nullopt;
+}
+
 std::string copy_path(object_kind kind)
 {
     return "/copy/" + std::string{to_string(kind)};
@@ -47,6 +72,25 @@
            std::string{query.small_only ? small_parameter : ""};
 }
 
+http_headers write_copy_headers(const copy_query& query)
+{
+    auto headers = write_copy_era(query.newer_than.era);
+    if (query.wait) {
+        headers.push_back({std::string{wait_header}, std::to_string(to_ms(*query.wait))});
+    }
+    return headers;
+}
+
+http_header write_confirmation(duration since_query)
+{
+    return {std::string{confirmation_header}, std::to_string(to_ms(since_query))};
+}
+
+std::optional<duration> read_confirmation(const http_headers& headers)
+{
+    return read_ms(headers, confirmation_header);
+}
+
 http_headers write_copy_era(store_era era)
 {
     if (era == store_era{}) {
@@ -80,7 +124,11 @@
          {object_kind::configuration, object_kind::targets, object_kind::evacuations}) {
         if (target.substr(0, query_start) == copy_path(kind)) {
             const store_position newer_than{read_copy_era(headers), store_revision{revision}};
-            return copy_query{kind, newer_than, from_watcher, accepts_changes, small_only};
+            auto wait = read_ms(headers, wait_header);
+            if (wait) {
+                wait = std::clamp(*wait, duration{}, max_copy_wait);
+            }
+            return copy_query{kind, newer_than, from_watcher, accepts_changes, small_only, wait};
         }
     }
     return std::nullopt;
--- a/src/entry/fleet_view.cpp
+++ b/src/entry/fleet_view.cpp
@@ -1,6 +1,5 @@
 #include "endivelatch/entry/fleet_view.hpp"
 
-#include "endivelatch/entry/watchers.hpp"
 #include "endivelatch/membership/packet_size.hpp"
 #include "endivelatch/wire/codec.hpp"
 
@@ -205,22 +204,23 @@
            loop_->now() - started_at_ < max_join_time;
 }
 
-std::vector<endpoint> fleet_view::watchers_to_follow()
+copy_sources fleet_view::sources()
 {
-    auto watchers = choose_watchers(membership_.live());
-    const auto is_self = [this](const member& router) { return router.id == self_; };
-    if (std::any_of(watchers.begin(), watchers.end(), is_self)) {
-        return {};
-    }
-    std::shuffle(watchers.begin(), watchers.end(), random_);
-    std::stable_partition(watchers.begin(), watchers.end(),
-                          [this](const member& router) { return router.domain != domain_; });
-    std::vector<endpoint> addresses;
-    addresses.reserve(watchers.size());
-    for (const auto& watcher : watchers) {
-        addresses.push_back(watcher.link);
-    }
-    return addresses;
+    const auto live = membership_.live();
+    auto plan = plan_reading(live, self_);
+    const auto addresses_of = [this](std::vector<member>& routers) {
+        std::shuffle(routers.begin(), routers.end(), random_);
+        std::stable_partition(routers.begin(), routers.end(),
+                              [this](const member& router) { return router.domain != domain_; });
+        std::vector<endpoint> addresses;
+        addresses.reserve(routers.size());
+        for (const auto& router : routers) {
+            addresses.push_back(router.link);
+        }
+        return addresses;
+    };
+    return {plan.role, addresses_of(plan.sources), addresses_of(plan.fallbacks),
+            live.size() <= max_routers_all_reading};
 }
 
 void fleet_view::receive(const endpoint& from, std::string_view bytes)
--- a/src/entry/watchers.cpp
+++ b/src/entry/watchers.cpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <set>
 #include <span>
+#include <utility>
 
 namespace endivelatch {
 
@@ -55,6 +56,50 @@
     return watchers;
 }
 
+std::string_view to_string(reader_role role)
+{
+    switch (role) {
+    case reader_role::watcher:
+        return "watcher";
+    case reader_role::lead:
+        return "lead";
+    case reader_role::relay:
+        return "relay";
+    case reader_role::standby:
+        return "standby";
+    case reader_role::follower:
+        return "follower";
+    }
+    return "unknown";
+}
+
+reader_plan plan_reading(const std::vector<member>& live, const router_id& self)
+{
+    if (live.size() <= max_routers_all_watching) {
+        return {};
+    }
+    const auto is_self = [&self](const member& router) { return router.id == self; };
+    const auto watchers = choose_watchers(live);
+    const auto lead = top_ranked(live, 1).front();
+    if (is_self(lead)) {
+        return {reader_role::lead, {}, {}};
+    }
+    if (std::any_of(watchers.begin(), watchers.end(), is_self)) {
+        return {reader_role::relay, {lead}, {}};
+    }
+    std::vector<member> standbys;
+    for (const auto& router : top_ranked(live, 2 * watchers.size())) {
+        const auto has_same_id = [&](const member& it) { return it.id == router.id; };
+        if (std::none_of(watchers.begin(), watchers.end(), has_same_id)) {
+            standbys.push_back(router);
+        }
+    }
+    if (std::any_of(standbys.begin(), standbys.end(), is_self)) {
+        return {reader_role::standby, watchers, {}};
+    }
+    return {reader_role::follower, watchers, std::move(standbys)};
+}
+
 bool store_probes::is_due(std::size_t routers, time_point now)
 {
     if (reaches_store_) {
--- a/src/mirror/object_mirror.cpp
+++ b/src/mirror/object_mirror.cpp
@@ -63,13 +63,18 @@
 {
     retry_at_.reset();
     next_call_is_list_ = false;
-    watched_after_ = position_;
-    watch_sent_at_ = now;
-    watch_wait_ = is_connected_ ? settings_.watch_wait : settings_.watch_wait_after_failure;
+    begin_watch(is_connected_ ? settings_.watch_wait : settings_.watch_wait_after_failure, now);
     effects.emplace_back(watch_objects{position_, watch_wait_});
     return std::move(effects);
 }
 
+void object_mirror::begin_watch(duration wait, time_point now)
+{
+    watched_after_ = position_;
+    watch_sent_at_ = now;
+    watch_wait_ = wait;
+}
+
 bool object_mirror::begin_era(store_era era, time_point now)
 {
     if (era <= era_) {
@@ -107,9 +112,9 @@
 
 mirror_effects object_mirror::handle_response(object_page&& page, time_point now)
 {
-    const bool names_no_next = page.objects.empty() || (!listed_objects_.empty() &&
-                                                        page.objects.back().name ==
-                                                            listed_objects_.back().name);
+    const bool names_no_next =
+        page.objects.empty() ||
+        (!listed_objects_.empty() && page.objects.back().name == listed_objects_.back().name);
     if (page.has_more && names_no_next) {
         return handle_call_failure(now);
     }
@@ -152,7 +157,8 @@
     if (apply(std::move(changes), now)) {
         effects.emplace_back(mirror_updated{});
     }
-    if (!has_changes && now - watch_sent_at_ < watch_wait_ / 2) {
+    const bool was_to_wait = watch_wait_ >= settings_.initial_retry_delay;
+    if (!has_changes && was_to_wait && now - watch_sent_at_ < watch_wait_ / 2) {
         const auto pause = pause_after_rejection();
         if (pause > duration{}) {
             next_call_is_list_ = false;
@@ -195,8 +201,7 @@
     bool has_changed = false;
     for (auto& it : changes.changes) {
         if (it.is_deleted) {
-            has_changed =
-                apply_removal(it.object, changes.position.revision, now) || has_changed;
+            has_changed = apply_removal(it.object, changes.position.revision, now) || has_changed;
         }
         // The copy reflects changes up to its revision, including removals that followed them.
         else if (it.object.revision > position_.revision) {
--- a/src/traffic/event_counter.cpp
+++ b/src/traffic/event_counter.cpp
@@ -20,8 +20,8 @@
             continue;
         }
         is_comment_ = is_comment_ || (line_size_ == 0 && byte == ':');
-        may_be_retry_ = may_be_retry_ &&
-                        (line_size_ >= retry_field.size() || retry_field[line_size_] == byte);
+        may_be_retry_ =
+            may_be_retry_ && (line_size_ >= retry_field.size() || retry_field[line_size_] == byte);
         ++line_size_;
         idle_bytes_ = is_comment_ ? idle_bytes_ : 0;
     }
--- a/src/traffic/target_table.cpp
+++ b/src/traffic/target_table.cpp
@@ -47,8 +47,8 @@
 {
     if (const auto known = targets_.find(registration.id); known != targets_.end()) {
         const auto& last = known->second.registration();
-        const bool becomes_ready = last.started == registration.started && last.is_leaving &&
-                                   !registration.is_leaving;
+        const bool becomes_ready =
+            last.started == registration.started && last.is_leaving && !registration.is_leaving;
         return becomes_ready || std::pair{registration.started, registration.sequence} <
                                     std::pair{last.started, last.sequence};
     }
--- a/src/traffic/traffic_streams.cpp
+++ b/src/traffic/traffic_streams.cpp
@@ -108,7 +108,8 @@
 bool traffic_router::has_begun_further_event(const exchange& it)
 {
     const auto& running = *it.running;
-    const bool repeats = running.last_event && it.last_event && *running.last_event < *it.last_event;
+    const bool repeats =
+        running.last_event && it.last_event && *running.last_event < *it.last_event;
     return it.route.is_resumable && running.events.has_partial_event() && !repeats;
 }
 
--- a/tests/entry/bounded_sink_test.cpp
+++ b/tests/entry/bounded_sink_test.cpp
@@ -95,6 +95,31 @@
     EXPECT_FALSE(read_path("/copy/targets?newer-than=1x"));
 }
 
+TEST(copy_query, states_how_long_its_answer_may_be_held_back)
+{
+    copy_query query{object_kind::targets, {{}, store_revision{7}}, true};
+    query.wait = std::chrono::milliseconds{1'200};
+    const auto read = read_copy_query(write_copy_query(query), write_copy_headers(query));
+    EXPECT_EQ(read->wait, query.wait);
+    EXPECT_FALSE(read_path("/copy/targets?newer-than=7")->wait);
+    EXPECT_EQ(read_copy_query("/copy/targets?newer-than=7", {{"Copy-Wait-Ms", "99999"}})->wait,
+              max_copy_wait);
+    EXPECT_EQ(read_copy_query("/copy/targets?newer-than=7", {{"Copy-Wait-Ms", "-1"}})->wait,
+              duration{});
+}
+
+// A confirmation must never look newer than it is.
+TEST(copy_query, confirmations_are_rounded_down)
+{
+    const auto read = [](std::int64_t us) {
+        return read_confirmation({write_confirmation(duration{us})});
+    };
+    EXPECT_EQ(read(1'999), std::chrono::milliseconds{1});
+    EXPECT_EQ(read(-1), std::chrono::milliseconds{-1});
+    EXPECT_FALSE(read_confirmation({}));
+    EXPECT_FALSE(read_confirmation({{"Copy-Confirmed-Ms", "1e3"}}));
+}
+
 // Routers of earlier versions neither send nor read the era.
 TEST(copy_query, without_an_era_is_written_as_by_earlier_versions)
 {
--- a/tests/entry/watchers_test.cpp
+++ b/tests/entry/watchers_test.cpp
@@ -1,5 +1,7 @@
 #include "endivelatch/entry/watchers.hpp"
 
+#include <chrono>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -71,6 +73,62 @@
 }
 
 // The load pattern: the store is down for 8 s before 125 routers. Each call is billed.
+/// Returns the routers of a fleet by their task in reading the store.
+std::map<reader_role, std::set<router_id>> by_role(const std::vector<member>& fleet)
+{
+    std::map<reader_role, std::set<router_id>> roles;
+    for (const auto& router : fleet) {
+        roles[plan_reading(fleet, router.id).role].insert(router.id);
+    }
+    return roles;
+}
+
+TEST(reader_plan, all_routers_of_a_small_fleet_watch)
+{
+    EXPECT_EQ(by_role(make_fleet(8))[reader_role::watcher].size(), 8U);
+}
+
+TEST(reader_plan, one_router_leads_and_the_other_watchers_pass_its_copy_on)
+{
+    for (const int size : {9, 12, 85, 295}) {
+        const auto fleet = make_fleet(size);
+        auto roles = by_role(fleet);
+        const auto watchers = choose_watchers(fleet);
+        ASSERT_EQ(roles[reader_role::lead].size(), 1U) << size;
+        auto all = roles[reader_role::relay];
+        all.insert(*roles[reader_role::lead].begin());
+        EXPECT_EQ(all, ids(watchers)) << size;
+        EXPECT_EQ(roles[reader_role::standby].size(), watchers.size()) << size;
+        EXPECT_EQ(roles[reader_role::follower].size(), fleet.size() - 2 * watchers.size()) << size;
+    }
+}
+
+TEST(reader_plan, routers_follow_the_lead_or_the_watchers)
+{
+    const auto fleet = make_fleet(30);
+    auto roles = by_role(fleet);
+    const auto relay = plan_reading(fleet, *roles[reader_role::relay].begin());
+    EXPECT_EQ(ids(relay.sources), roles[reader_role::lead]);
+    const auto standby = plan_reading(fleet, *roles[reader_role::standby].begin());
+    EXPECT_EQ(ids(standby.sources), ids(choose_watchers(fleet)));
+    const auto follower = plan_reading(fleet, *roles[reader_role::follower].begin());
+    EXPECT_EQ(ids(follower.sources), ids(choose_watchers(fleet)));
+    EXPECT_EQ(ids(follower.fallbacks), roles[reader_role::standby]);
+}
+
+// Each step leaves time for a call, and the last one for reading the store, within the 2 s in which
+// all routers must know a change.
+TEST(confirmation_limits, leave_time_for_each_step)
+{
+    const auto& limits = default_confirmation_limits;
+    EXPECT_LT(limits.interval, limits.relay);
+    EXPECT_LT(limits.relay, limits.standby);
+    EXPECT_LT(limits.standby, limits.follower);
+    EXPECT_LT(limits.follower, limits.last);
+    EXPECT_LT(limits.last, std::chrono::seconds{2});
+    EXPECT_LT(evacuation_confirmation_limits.last, std::chrono::seconds{5});
+}
+
 TEST(store_probes, the_followers_of_a_fleet_together_call_seldom_but_soon)
 {
     for (const std::size_t routers : {12U, 79U, 125U, 295U}) {
--- a/tests/mirror/mirror_fuzz_test.cpp
+++ b/tests/mirror/mirror_fuzz_test.cpp
@@ -25,8 +25,8 @@
     std::cout << "case=" << name << " schedules=" << count << " steps=" << total.steps
               << " changes=" << total.changes << " copies=" << total.copies
               << " whole_copies=" << total.whole_copies << " losses=" << total.losses
-              << " restarts=" << total.restarts << " restores=" << total.restores << " incomplete=" << total.incomplete
-              << " diverged=" << total.diverged << "\n";
+              << " restarts=" << total.restarts << " restores=" << total.restores
+              << " incomplete=" << total.incomplete << " diverged=" << total.diverged << "\n";
     return total;
 }
 
--- a/tests/mirror/mirror_simulation.cpp
+++ b/tests/mirror/mirror_simulation.cpp
@@ -191,7 +191,8 @@
         }
         else if (random_.below(8) == 0) {
             ++report_.restores;
-            store_.restore(store_.revision() - random_.below(std::min(store_.revision(), max_lost)));
+            store_.restore(store_.revision() -
+                           random_.below(std::min(store_.revision(), max_lost)));
         }
         break;
     case 5:
@@ -386,7 +387,11 @@
     ++report_.restarts;
     std::erase_if(requests_, [n](const auto& it) { return it.from == n || it.to == n; });
     std::erase_if(copies_, [n](const auto& it) { return it.to == n; });
-    nodes_[n] = {object_mirror{mirror_settings{.removal_grace = removal_grace}, random_()}, {}, {}, false, {}};
+    nodes_[n] = {object_mirror{mirror_settings{.removal_grace = removal_grace}, random_()},
+                 {},
+                 {},
+                 false,
+                 {}};
     take_effects(nodes_[n], nodes_[n].mirror.start(clock_.now()));
 }
 
--- a/tests/mirror/object_mirror_test.cpp
+++ b/tests/mirror/object_mirror_test.cpp
@@ -341,8 +341,7 @@
 {
     mirror.handle_response(page({object("a", 1)}, 5), clock.now());
     mirror.merge_peer_copy(page({object("a", 1)}, 12), clock.now());
-    mirror.handle_response(object_changes{{{object("b", 7), false}}, at_revision(9)},
-                           clock.now());
+    mirror.handle_response(object_changes{{{object("b", 7), false}}, at_revision(9)}, clock.now());
     EXPECT_EQ(mirror.objects().count("b"), 0U);
     EXPECT_EQ(mirror.position(), at_revision(12));
 }
@@ -382,8 +381,7 @@
     manual_clock clock;
     object_mirror mirror{mirror_settings{}, 1};
     mirror.start(clock.now());
-    EXPECT_TRUE(
-        mirror.handle_response(object_page{{}, true, at_revision(5)}, clock.now()).empty());
+    EXPECT_TRUE(mirror.handle_response(object_page{{}, true, at_revision(5)}, clock.now()).empty());
     EXPECT_FALSE(mirror.is_synced());
     ASSERT_TRUE(mirror.next_timer());
     EXPECT_GT(*mirror.next_timer(), clock.now());
--- a/tests/mirror/store_era_test.cpp
+++ b/tests/mirror/store_era_test.cpp
@@ -180,11 +180,11 @@
 
 TEST_F(store_era_fixture, a_watch_that_does_not_wait_is_repeated_ever_more_seldom)
 {
-    EXPECT_LE(calls_in_ten_seconds(mirror, clock,
-                                   [this] {
-                                       return mirror.handle_response(
-                                           object_changes{{}, at(1, 200)}, clock.now());
-                                   }),
+    EXPECT_LE(calls_in_ten_seconds(
+                  mirror, clock,
+                  [this] {
+                      return mirror.handle_response(object_changes{{}, at(1, 200)}, clock.now());
+                  }),
               40);
 }
 
--- a/tests/serve/mirror_client_test.cpp
+++ b/tests/serve/mirror_client_test.cpp
@@ -19,12 +19,14 @@
 /// A router that responds to every request for its copy with a fixed answer after a delay.
 class scripted_router {
 public:
-    scripted_router(event_loop& loop, const copy_answer& answer, duration delay)
+    scripted_router(event_loop& loop, const copy_answer& answer, duration delay,
+                    const http_headers& headers = {})
         : server_{loop,
-                  {[this, answer, delay](exchange_number id, request_head&&, std::string&&) {
+                  {[this, answer, delay, headers](exchange_number id, request_head&&,
+                                                  std::string&&) {
                        ++request_count_;
-                       delays_.after(delay, [this, id, answer] {
-                           server_.respond(id, answer.status, {}, answer.body);
+                       delays_.after(delay, [this, id, answer, headers] {
+                           server_.respond(id, answer.status, headers, answer.body);
                        });
                    },
                    [](exchange_number) {},
@@ -65,9 +67,11 @@
         store.address(),
         mirror_settings{},
         1,
-        {[] {}, [](store_era) {}, [this] { return std::vector<endpoint>{peer.address()}; },
-         [this] { return std::vector<endpoint>{watcher.address()}; }, [] { return false; },
-         [](log_event&&) {}}};
+        {[] {}, [](store_era) {}, [] {}, [this] { return std::vector<endpoint>{peer.address()}; },
+         [this] {
+             return copy_sources{reader_role::follower, {watcher.address()}, {}, true};
+         },
+         [] { return false; }, [](log_event&&) {}}};
 };
 
 TEST_F(lagging_watcher, reads_from_the_store_when_the_newer_copy_of_a_peer_is_too_large)
@@ -103,7 +107,8 @@
     /// Announces the peer's copy and waits until the client has read it.
     void announce(const scripted_router& peer)
     {
-        const store_position next{{}, client.mirror().position().revision.next()};
+        const auto position = client.mirror().position();
+        const store_position next{position.era, position.revision.next()};
         client.on_newer_copy(peer.address(), next);
         run_until(loop, [&] { return client.mirror().position() == next; });
     }
@@ -119,9 +124,8 @@
         store.address(),
         mirror_settings{},
         1,
-        {[] {}, [](store_era) {}, [] { return std::vector<endpoint>{}; },
-         [] { return std::vector<endpoint>{}; },
-         [] { return false; },
+        {[] {}, [](store_era) {}, [] {}, [] { return std::vector<endpoint>{}; },
+         [] { return copy_sources{}; }, [] { return false; },
          [this](log_event&& it) { losses += it.name() == "store_lost" ? 1 : 0; }}};
 };
 
@@ -130,25 +134,40 @@
 // regarded as lost, routers copied large configurations from each other.
 TEST_F(watching_client, keeps_its_watch_if_a_newer_copy_has_the_same_objects)
 {
-    const scripted_router peer{loop, newer_copy(false), duration{}};
+    const scripted_router peer{loop, newer_copy(false), duration{},
+                               write_copy_era(client.mirror().era())};
     announce(peer);
     EXPECT_EQ(losses, 0);
     EXPECT_EQ(store.pending_watches(), 1U);
 }
 
-TEST_F(watching_client, restarts_a_watch_that_has_not_reported_the_change_of_a_newer_copy)
+// A router of an earlier version states no era, so its copy may be of a former one.
+TEST_F(watching_client, does_not_use_a_copy_without_an_era_if_the_store_states_one)
 {
     const scripted_router peer{loop, newer_copy(true), duration{}};
+    const auto before = client.mirror().position();
+    client.on_newer_copy(peer.address(), {before.era, before.revision.next()});
+    run_until(loop, [&] { return peer.request_count() > 0; });
+    run_for(loop, milliseconds{50});
+    EXPECT_EQ(client.mirror().position(), before);
+}
+
+TEST_F(watching_client, restarts_a_watch_that_has_not_reported_the_change_of_a_newer_copy)
+{
+    const scripted_router peer{loop, newer_copy(true), duration{},
+                               write_copy_era(client.mirror().era())};
     announce(peer);
     EXPECT_EQ(losses, 1);
 }
 
 /// A mirror client that follows two watchers with a given answer to each query.
 struct following_client {
-    following_client(const copy_answer& answer, event_loop& on) : loop{&on}
+    following_client(const copy_answer& answer, event_loop& on, const http_headers& headers = {},
+                     duration delay = milliseconds{5}, reader_role its_role = reader_role::follower)
+        : loop{&on}, role{its_role}
     {
         for (int n = 0; n < 2; ++n) {
-            watchers.push_back(std::make_unique<scripted_router>(on, answer, milliseconds{5}));
+            watchers.push_back(std::make_unique<scripted_router>(on, answer, delay, headers));
         }
         store.put("config", "main", {{"Version", 1}});
         client.start();
@@ -156,6 +175,7 @@
     }
 
     event_loop* loop;
+    reader_role role;
     standins::store_standin store{*loop};
     call_client calls{*loop};
     std::vector<std::unique_ptr<scripted_router>> watchers;
@@ -166,9 +186,9 @@
         store.address(),
         mirror_settings{},
         1,
-        {[] {}, [](store_era) {}, [] { return std::vector<endpoint>(124); },
+        {[] {}, [](store_era) {}, [] {}, [] { return std::vector<endpoint>(124); },
          [this] {
-             return std::vector<endpoint>{watchers[0]->address(), watchers[1]->address()};
+             return copy_sources{role, {watchers[0]->address(), watchers[1]->address()}, {}, false};
          },
          [] { return false; }, [](log_event&&) {}}};
 };
@@ -201,5 +221,69 @@
     EXPECT_TRUE(fleet.client.mirror().is_connected());
 }
 
+// The watcher's own connection to the store is silent, so that "nothing newer" says nothing of now.
+TEST(follower, reads_the_store_if_its_source_was_confirmed_too_long_ago)
+{
+    event_loop loop;
+    const following_client fleet{{copy_answer::nothing_newer, {}},
+                                 loop,
+                                 {write_confirmation(std::chrono::seconds{-3})},
+                                 milliseconds{50},
+                                 reader_role::standby};
+    EXPECT_GE(fleet.store.request_count(), 2);
+    EXPECT_TRUE(fleet.client.mirror().is_connected());
+}
+
+// A store that does not know the kind, as it has no evacuations, has confirmed that there are none.
+// Otherwise routers would look for a confirmation all the time.
+TEST(follower, an_absent_kind_is_confirmed)
+{
+    event_loop loop;
+    standins::store_standin store{loop};
+    store.set_absent("evacuations");
+    call_client calls{loop};
+    mirror_client<platform::protocol> client{
+        loop,
+        calls,
+        object_kind::evacuations,
+        store.address(),
+        mirror_settings{.may_be_absent = true},
+        1,
+        {[] {}, [](store_era) {}, [] {}, [] { return std::vector<endpoint>{}; },
+         [] {
+             return copy_sources{reader_role::lead, {}, {}, false};
+         },
+         [] { return false; }, [](log_event&&) {}}};
+    client.start();
+    run_for(loop, milliseconds{2'500});
+    ASSERT_TRUE(client.confirmed_at());
+    EXPECT_LT(loop.now() - *client.confirmed_at(), evacuation_confirmation_limits.relay);
+    EXPECT_LE(store.request_count(), 4); // One each second.
+}
+
+// A source that holds its answers back must not make them look newer.
+TEST(follower, counts_the_time_on_the_way_to_the_age_of_a_confirmation)
+{
+    event_loop loop;
+    const following_client fleet{{copy_answer::nothing_newer, {}},
+                                 loop,
+                                 {write_confirmation(duration{})},
+                                 milliseconds{300}};
+    ASSERT_TRUE(fleet.client.confirmed_at());
+    EXPECT_GE(loop.now() - *fleet.client.confirmed_at(), milliseconds{290});
+}
+
+TEST(follower, reads_the_store_in_time_if_its_sources_do_not_answer)
+{
+    for (const auto role : {reader_role::standby, reader_role::relay}) {
+        event_loop loop;
+        const following_client fleet{
+            {copy_answer::nothing_newer, {}}, loop, {}, std::chrono::seconds{10}, role};
+        // The list and the check; a relay also has its own watch before and after the check.
+        EXPECT_EQ(fleet.store.request_count(), role == reader_role::relay ? 4 : 2);
+        EXPECT_LT(loop.now() - *fleet.client.confirmed_at(), default_confirmation_limits.standby);
+    }
+}
+
 } // namespace
 } // namespace endivelatch::serve
--- a/tests/serve/serve_fleet.cpp
+++ b/tests/serve/serve_fleet.cpp
@@ -62,6 +62,10 @@
                 std::make_unique<standins::tcp_proxy>(loop, any_port, it->address()));
         }
     }
+    for (int n = 1; n <= count && path == network_path::own_store_proxies; ++n) {
+        store_proxies[n] =
+            std::make_unique<standins::tcp_proxy>(loop, endpoint{"127.0.0.1", 0}, store.address());
+    }
     for (std::size_t n = 0; n < replicas.size(); ++n) {
         store.put("servers", replicas[n]->id(), registration(n));
     }
@@ -83,8 +87,23 @@
     return {"127.0.0." + std::to_string(router), static_cast<std::uint16_t>(port_base_ + offset)};
 }
 
-endpoint serve_fleet::store_address() const
+void serve_fleet::silence_store(int router)
+{
+    store_proxies.at(router)->stall_new_connections(true);
+    store_proxies.at(router)->stall_open_connections();
+}
+
+void serve_fleet::restore_store(int router)
 {
+    store_proxies.at(router)->stall_new_connections(false);
+    store_proxies.at(router)->close_open_connections();
+}
+
+endpoint serve_fleet::store_address(int router) const
+{
+    if (const auto own = store_proxies.find(router); own != store_proxies.end()) {
+        return {"127.0.0.1", own->second->port()};
+    }
     return store_proxy ? endpoint{"127.0.0.1", store_proxy->port()} : store.address();
 }
 
@@ -121,7 +140,7 @@
         << "[Bounds]\nGraceS = 4\nRetryBudgetRatio = 0.2\n"
         << "RetrySlack = 50\nCapFactor = 2\nttl_max_s = 5\n"
         << limit("EvacuateMs", limits_.evacuate_ms) << "[Platform]\nAddress = \""
-        << store_address().address << ":" << store_address().port << "\"\n";
+        << store_address(router).address << ":" << store_address(router).port << "\"\n";
     return out.str();
 }
 
--- a/tests/serve/serve_fleet.hpp
+++ b/tests/serve/serve_fleet.hpp
@@ -41,7 +41,8 @@
     /// How routers reach the store and the replicas.
     enum class network_path {
         direct,
-        through_proxies, ///< Through proxies that can delay, stall and close connections.
+        through_proxies,   ///< Through proxies that can delay, stall and close connections.
+        own_store_proxies, ///< Each router reaches the store through a proxy of its own.
     };
 
     explicit serve_fleet(int routers, network_path path = network_path::direct,
@@ -79,6 +80,12 @@
     /// Waits for the end of a response.
     const client_response& wait_for_response(outgoing_id id);
 
+    /// Cuts the router off from the store: nothing passes any more, and no connection is closed.
+    void silence_store(int router);
+
+    /// Ends the cut; the connections that it silenced are closed.
+    void restore_store(int router);
+
     /// Returns the status of the router's readiness endpoint, or 0 without a response.
     int readiness(int router);
 
@@ -114,6 +121,7 @@
     standins::store_standin store{loop};
     std::vector<std::unique_ptr<standins::replica_standin>> replicas;
     std::unique_ptr<standins::tcp_proxy> store_proxy; ///< Null if the network path is direct.
+    std::map<int, std::unique_ptr<standins::tcp_proxy>> store_proxies; ///< By router.
     std::vector<std::unique_ptr<standins::tcp_proxy>> replica_proxies;
     std::map<int, std::unique_ptr<failures::child_process>> routers;
     std::map<outgoing_id, client_response> responses;
@@ -124,7 +132,7 @@
                                   const std::string& attempt, const std::string& headers,
                                   int deadline_ms = 5'000);
     endpoint address(int router, int offset) const;
-    endpoint store_address() const;
+    endpoint store_address(int router) const;
 
     int router_count_;
     stated_limits limits_;
--- a/tests/serve/store_era_test.cpp
+++ b/tests/serve/store_era_test.cpp
@@ -9,9 +9,9 @@
 namespace endivelatch::serve {
 namespace {
 
+using standins::store_standin;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
-using standins::store_standin;
 
 /// Bound of the platform for a configuration to be in force.
 constexpr duration apply_time = seconds{2};
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -1,3 +1,4 @@
+#include "environment_number.hpp"
 #include "soak_run.hpp"
 
 #include <cstdlib>
@@ -10,12 +11,6 @@
 namespace endivelatch::soak {
 namespace {
 
-std::uint64_t environment_number(const char* name, std::uint64_t fallback)
-{
-    const char* text = std::getenv(name);
-    return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
-}
-
 void run_seed(std::uint64_t seed)
 {
     soak_run run{seed};
--- a/tests/standins/store_standin.cpp
+++ b/tests/standins/store_standin.cpp
@@ -144,6 +144,10 @@
     const auto kind_and_name = path.substr(objects_path.size());
     const auto slash = kind_and_name.find('/');
     const auto kind = kind_and_name.substr(0, slash);
+    if (kind == absent_kind_) {
+        respond(id, 404, json::object());
+        return;
+    }
     if (head.method == "POST") {
         create(id, kind, body);
         return;
@@ -232,9 +236,9 @@
 
 void store_standin::respond_text(exchange_number id, int status, const std::string& body)
 {
-    server_.respond(
-        id, status,
-        {{"Content-Type", "application/json"}, {"Store-Era", std::to_string(era_)}}, body);
+    server_.respond(id, status,
+                    {{"Content-Type", "application/json"}, {"Store-Era", std::to_string(era_)}},
+                    body);
 }
 
 } // namespace endivelatch::standins
--- a/tests/standins/store_standin.hpp
+++ b/tests/standins/store_standin.hpp
@@ -48,6 +48,9 @@
     /// pending watches.
     void discard_history();
 
+    /// Answers calls for the kind with 404, as for a kind that has no objects.
+    void set_absent(const std::string& kind) { absent_kind_ = kind; }
+
     /// Keeps a copy of all objects, as a backup does.
     void make_copy();
 
@@ -98,6 +101,7 @@
     request_server server_;
     delayed_calls delays_;
     mode mode_ = mode::normal;
+    std::string absent_kind_;
     std::map<std::string, objects_by_name> objects_by_kind_;
     std::map<std::string, objects_by_name> copied_objects_;
     std::uint64_t copied_revision_ = 0;
